--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,929 @@
+//! All decisions of a scalebarrow sender. The interface, with a word on every input and effect, is `src/lib.rs`: make
+//! a `Logic`, hand it its settings, then call one method per input and `settle` after each. `settle` goes through
+//! `RULES` in order, from the top after every firing, until none fires.
+//!
+//! The ordinary route of a webhook is the design's: gates, weighted score, argmax with a margin, hash ties, spill and
+//! the window (`docs/design.md`). Beside it stand six mechanisms:
+//! 1. ledger: one final answer in TTL; what may have run, by effect and group; key order and rest
+//! 2. list: watch upkeep, drains
+//! 3. pace: waits; a share of each limit; batches
+//! 4. return: a sender's share of the cold budget after an outage seen, ramp to warm
+//! 5. queue: who gets scarce slots and room
+//! 6. attempt time-outs and further attempts
+
+use crate::{Effect, Entry, ListMode, Outbox, Outcome};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+
+type Name = Rc<str>;
+/// What shares a limit, waits and outages: a destination, or one route of it where routes are apart.
+type Scope = (u64, Option<Name>);
+
+struct Rule {
+    name: &'static str,
+    when: fn(&Logic) -> Option<Pick>,
+    then: fn(&mut Logic, Pick, &mut dyn Outbox),
+}
+
+/// What a rule's condition found for its effect to act on.
+enum Pick {
+    Webhook(u64),
+    Send(u64, Name),
+    Route(Name),
+    Any,
+}
+
+const RULES: [Rule; 8] = [
+    Rule { name: "out-of-time", when: Logic::out_of_time, then: Logic::give_up },
+    Rule { name: "spent", when: Logic::spent, then: Logic::give_up },
+    Rule { name: "room", when: Logic::no_room, then: Logic::give_up },
+    Rule { name: "watch", when: Logic::watch_due, then: Logic::ask_list },
+    Rule { name: "age", when: Logic::aged, then: Logic::forget },
+    Rule { name: "trial", when: Logic::trial_due, then: Logic::send },
+    Rule { name: "send", when: Logic::sendable, then: Logic::send },
+    Rule { name: "wake", when: Logic::wake_due, then: Logic::set_wake },
+];
+
+struct EventType {
+    target: f64,
+    ttl: f64,
+    value: f64,
+    late: f64,
+    halves: bool,
+    effect: Effect,
+    known_for: f64,
+    by_all: bool,
+    ordered: bool,
+}
+
+struct Webhook {
+    evt: Name,
+    dest: u64,
+    key: Option<Name>,
+    over: bool,
+    target_at: f64,
+    ttl_at: f64,
+    tries: u32,
+    out: Option<Name>,
+    /// First attempt that may have run: the zone of its endpoint and when it was sent.
+    ran: Option<(Name, f64)>,
+    not_before: f64,
+    ended: bool,
+}
+
+struct Call {
+    at: f64,
+    trial: bool,
+    webhooks: BTreeSet<u64>,
+}
+
+struct Sample {
+    at: f64,
+    good: bool,
+    incident: bool,
+    took: f64,
+}
+
+struct Route {
+    dest: u64,
+    zone: Name,
+    batch: usize,
+    apart: bool,
+    rate: f64,
+    ready: bool,
+    window: f64,
+    calls: Vec<Call>,
+    samples: VecDeque<Sample>,
+    bad_row: u32,
+    open: bool,
+    trial_at: f64,
+    cooling: f64,
+    answered: f64,
+    used: f64,
+}
+
+#[derive(Default)]
+struct Meter {
+    wait_until: f64,
+    sent: VecDeque<(f64, f64)>,
+    share: f64,
+    full_row: u32,
+    full_since: f64,
+    outage: bool,
+    back: Option<f64>,
+    limits: VecDeque<f64>,
+    left: Option<(f64, f64)>,
+}
+
+pub(crate) struct Logic {
+    now: f64,
+    number: u64,
+    senders: f64,
+    chance: u64,
+    // ledger
+    types: BTreeMap<Name, EventType>,
+    webhooks: BTreeMap<u64, Webhook>,
+    key_lines: BTreeMap<Name, VecDeque<u64>>,
+    key_rests: BTreeMap<Name, f64>,
+    key_rest: f64,
+    // list
+    kinds: BTreeMap<Name, (usize, bool)>,
+    ask: bool,
+    within: f64,
+    watching: bool,
+    ask_at: f64,
+    refusals: u32,
+    routes: BTreeMap<Name, Route>,
+    dests: BTreeMap<u64, Vec<Name>>,
+    // pace and return
+    meters: BTreeMap<Scope, Meter>,
+    rate_error: f64,
+    cold: (f64, f64, f64, f64),
+    // queue
+    held: BTreeMap<u64, Vec<u64>>,
+    slots: usize,
+    busy: usize,
+    holds: usize,
+    come_back: f64,
+    customers: BTreeMap<Name, (f64, f64, VecDeque<f64>)>,
+    // attempts
+    attempts: u32,
+    may_call_off: bool,
+    retries: VecDeque<bool>,
+    current: BTreeMap<u64, Name>,
+    fees: BTreeMap<Name, f64>,
+    wake_at: Option<f64>,
+    next_age: f64,
+}
+
+impl Logic {
+    pub fn new(now: f64, seed: u64, number: u64, senders: u64) -> Self {
+        Logic {
+            now,
+            number,
+            senders: senders.max(1) as f64,
+            // A multiply-with-carry state must not be 0 nor all ones; this keeps it inside.
+            chance: (seed & 0xffff_ffff) | (1 << 32),
+            types: BTreeMap::new(),
+            webhooks: BTreeMap::new(),
+            key_lines: BTreeMap::new(),
+            key_rests: BTreeMap::new(),
+            key_rest: 0.0,
+            kinds: BTreeMap::new(),
+            ask: false,
+            within: f64::INFINITY,
+            watching: false,
+            ask_at: now,
+            refusals: 0,
+            routes: BTreeMap::new(),
+            dests: BTreeMap::new(),
+            meters: BTreeMap::new(),
+            rate_error: 1.0,
+            cold: (1.0, 0.0, f64::INFINITY, 1.0),
+            held: BTreeMap::new(),
+            slots: 1,
+            busy: 0,
+            holds: 1,
+            come_back: 0.0,
+            customers: BTreeMap::new(),
+            attempts: 1,
+            may_call_off: false,
+            retries: VecDeque::new(),
+            current: BTreeMap::new(),
+            fees: BTreeMap::new(),
+            wake_at: None,
+            next_age: now,
+        }
+    }
+
+    pub fn set_event_type(&mut self, name: &str, target: f64, ttl: f64, value: f64, late: f64, halves: bool) {
+        let (effect, known_for) = (Effect::AtMostOnce, 0.0);
+        let evt =
+            EventType { target, ttl, value, late, halves, effect, known_for, by_all: false, ordered: false };
+        self.types.insert(name.into(), evt);
+    }
+
+    pub fn set_effect(&mut self, name: &str, effect: Effect, known_for: f64, by_all: bool, ordered: bool) {
+        if let Some(evt) = self.types.get_mut(name) {
+            (evt.effect, evt.known_for, evt.by_all, evt.ordered) = (effect, known_for, by_all, ordered);
+        }
+    }
+
+    pub fn set_kind(&mut self, name: &str, batch: usize, apart: bool) {
+        self.kinds.insert(name.into(), (batch.max(1), apart));
+    }
+
+    pub fn set_zone_fee(&mut self, zone: &str, fee: f64) {
+        self.fees.insert(zone.into(), fee);
+    }
+
+    pub fn set_customer(&mut self, name: &str, quota: f64, over: f64) {
+        self.customers.insert(name.into(), (quota, over, VecDeque::new()));
+    }
+
+    pub fn set_limits(&mut self, slots: usize, holds: usize, attempts: u32, may_call_off: bool) {
+        (self.slots, self.holds, self.attempts, self.may_call_off) = (slots, holds, attempts, may_call_off);
+    }
+
+    pub fn set_come_back(&mut self, longest: f64) {
+        self.come_back = longest;
+    }
+
+    pub fn set_list(&mut self, ask: bool, within: f64) {
+        (self.ask, self.within) = (ask, within);
+    }
+
+    pub fn set_rate_error(&mut self, factor: f64) {
+        self.rate_error = factor.max(1.0);
+    }
+
+    pub fn set_cold(&mut self, from: f64, warm: f64, multiple: f64, span: f64) {
+        self.cold = (from, warm, multiple, span.max(0.001));
+    }
+
+    pub fn set_key_rest(&mut self, rest: f64) {
+        self.key_rest = rest;
+    }
+
+    /// Marsaglia's multiply-with-carry, 32 bits; the multiplier is one that he lists.
+    fn chance(&mut self) -> f64 {
+        self.chance = 4_294_957_665 * (self.chance & 0xffff_ffff) + (self.chance >> 32);
+        (self.chance & 0xffff_ffff) as f64 / 4_294_967_296.0
+    }
+
+    pub fn settle(&mut self, out: &mut dyn Outbox) {
+        // Every firing ends a webhook, sends one, or moves a time forward, so the list runs dry; the bound only
+        // turns a mistake in that argument into a late decision instead of an endless loop.
+        let mut last = "";
+        for _ in 0..100_000 {
+            let Some((rule, pick)) = RULES.iter().find_map(|r| (r.when)(self).map(|p| (r, p))) else {
+                return;
+            };
+            last = rule.name;
+            (rule.then)(self, pick, out);
+        }
+        out.log(&format!("rules did not come to rest; the last was {last}"));
+    }
+
+    // ---- inputs ----
+
+    pub fn list(&mut self, now: f64, mode: ListMode, entries: &[Entry]) {
+        self.now = now;
+        match mode {
+            ListMode::Refused => {
+                // The notice does not say whether the watch stands, so it is asked for again, less often each time.
+                self.watching = false;
+                self.refusals += 1;
+                let step = (0.4 * f64::from(1 << self.refusals.min(4))).min(self.within / 4.0);
+                self.ask_at = now + step * (0.5 + self.chance());
+                return;
+            }
+            ListMode::Remembered => {}
+            ListMode::Changes | ListMode::Whole => (self.watching, self.refusals) = (self.ask, 0),
+        }
+        if mode != ListMode::Changes {
+            self.routes.values_mut().for_each(|r| r.ready = false);
+        }
+        for e in entries {
+            let (batch, apart) = self.kinds.get(e.kind).copied().unwrap_or((1, false));
+            if !self.routes.contains_key(e.ep) {
+                let ep: Name = e.ep.into();
+                self.dests.entry(e.dest).or_default().push(ep.clone());
+                let route = Route {
+                    dest: e.dest,
+                    zone: e.zone.into(),
+                    batch,
+                    apart,
+                    rate: 0.0,
+                    ready: false,
+                    window: self.first_window(),
+                    calls: Vec::new(),
+                    samples: VecDeque::new(),
+                    bad_row: 0,
+                    open: false,
+                    trial_at: 0.0,
+                    cooling: 0.0,
+                    answered: now,
+                    used: now,
+                };
+                self.routes.insert(ep, route);
+            }
+            let Some(r) = self.routes.get_mut(e.ep) else { continue };
+            (r.ready, r.rate) = (e.ready, if e.rate.is_finite() { e.rate.max(0.0) } else { 0.0 });
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn webhook(
+        &mut self,
+        now: f64,
+        id: u64,
+        evt: &str,
+        dest: u64,
+        key: Option<&str>,
+        customer: Option<&str>,
+        left: f64,
+    ) {
+        self.now = now;
+        let ttl_at = now + left;
+        let (mut target_at, mut line) = (now, None);
+        if let Some(t) = self.types.get(evt) {
+            target_at = ttl_at - t.ttl + t.target;
+            line = key.filter(|_| t.ordered).map(Name::from);
+        }
+        if let Some(k) = &line {
+            self.key_lines.entry(k.clone()).or_default().push_back(id);
+        }
+        let over = customer.is_some_and(|c| self.over_share(c));
+        let webhook = Webhook {
+            evt: evt.into(),
+            dest,
+            key: line,
+            over,
+            target_at,
+            ttl_at,
+            tries: 0,
+            out: None,
+            ran: None,
+            not_before: 0.0,
+            ended: false,
+        };
+        self.webhooks.insert(id, webhook);
+        self.held.entry(dest).or_default().push(id);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn outcome(
+        &mut self,
+        now: f64,
+        id: u64,
+        ep: &str,
+        outcome: Outcome,
+        took: f64,
+        ended: bool,
+        report: Option<(f64, f64)>,
+    ) {
+        self.now = now;
+        self.end_call(id, ep, outcome, took, report);
+        let Some(w) = self.webhooks.get_mut(&id) else { return };
+        if w.out.take().is_none() {
+            return;
+        }
+        let may_run =
+            matches!(outcome, Outcome::Failed | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        if may_run && w.ran.is_none() {
+            let zone = self.routes.get(ep).map_or_else(|| Name::from(""), |r| r.zone.clone());
+            w.ran = Some((zone, now - took));
+        }
+        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+            && let Some(k) = &w.key
+        {
+            // A key rests after an attempt that may still run; the one that has the turn need not wait.
+            self.key_rests.insert(k.clone(), now + self.key_rest);
+        }
+        if w.tries > 1 {
+            self.retries.push_back(outcome == Outcome::Delivered);
+            // 20 further attempts: enough to tell one in ten from one in two.
+            if self.retries.len() > 20 {
+                self.retries.pop_front();
+            }
+        }
+        if ended || w.ended {
+            self.close(id);
+            return;
+        }
+        // How often further attempts are made follows how many of the recent ones succeeded: 0.1 s apart (a short
+        // stall is over by then) when all did, up to 2 s when none.
+        let good = self.retries.iter().filter(|g| **g).count() + 1;
+        w.not_before = now + (0.1 * (self.retries.len() + 1) as f64 / good as f64).min(2.0);
+        let dest = w.dest;
+        self.held.entry(dest).or_default().push(id);
+    }
+
+    pub fn withdrawn(&mut self, now: f64, id: u64) {
+        self.now = now;
+        let Some(w) = self.webhooks.get_mut(&id) else { return };
+        // One that is out stays on the books until its outcome: its key must not move on before.
+        w.ended = true;
+        if w.out.is_none() {
+            self.close(id);
+        }
+    }
+
+    pub fn woken(&mut self, now: f64, _handle: u64) {
+        self.now = now;
+        if self.wake_at.is_some_and(|t| now >= t - 1e-6) {
+            self.wake_at = None;
+        }
+    }
+
+    // ---- ledger ----
+
+    fn close(&mut self, id: u64) {
+        let Some(w) = self.webhooks.remove(&id) else { return };
+        if let Some(h) = self.held.get_mut(&w.dest) {
+            h.retain(|x| *x != id);
+        }
+        if let Some(k) = &w.key
+            && let Some(line) = self.key_lines.get_mut(k)
+        {
+            line.retain(|x| *x != id);
+            if line.is_empty() {
+                self.key_lines.remove(k);
+            }
+        }
+    }
+
+    /// Handing in again does no harm: nothing may have run, or whoever gets a repeat knows it.
+    fn may_reject(&self, w: &Webhook) -> bool {
+        let Some(t) = self.types.get(&w.evt) else { return w.ran.is_none() };
+        w.ran.is_none() || t.effect == Effect::Idempotent || (t.effect == Effect::Tokened && t.by_all)
+    }
+
+    /// Sending to an endpoint in `zone` cannot make a second effect.
+    fn may_repeat(&self, w: &Webhook, zone: &str) -> bool {
+        let (Some(t), Some((first, at))) = (self.types.get(&w.evt), &w.ran) else { return w.ran.is_none() };
+        match t.effect {
+            Effect::Idempotent => true,
+            // 50 ms short, since the repeat takes time to arrive.
+            Effect::Tokened => (t.by_all || **first == *zone) && self.now < at + t.known_for - 0.05,
+            Effect::AtMostOnce => false,
+        }
+    }
+
+    fn has_turn(&self, id: u64, w: &Webhook) -> bool {
+        let Some(k) = &w.key else { return true };
+        if self.key_lines.get(k).and_then(|l| l.front()) != Some(&id) {
+            return false;
+        }
+        // 1 ms more, so that rounding cannot end the rest early.
+        w.ran.is_some() || self.key_rests.get(k).is_none_or(|t| self.now > *t + 0.001)
+    }
+
+    fn out_of_time(&self) -> Option<Pick> {
+        // 5 ms before TTL, no attempt can come back in time any more.
+        let late = |id: &&u64| self.webhooks.get(id).is_some_and(|w| self.now >= w.ttl_at - 0.005);
+        self.held.values().flatten().find(late).map(|id| Pick::Webhook(*id))
+    }
+
+    /// No further attempt is allowed: the tries are used up, or it may have run and must not be repeated.
+    fn spent(&self) -> Option<Pick> {
+        let done = |id: &&u64| {
+            let Some(w) = self.webhooks.get(id) else { return false };
+            let Some(t) = self.types.get(&w.evt) else { return true };
+            let barred = match (t.effect, &w.ran) {
+                (_, None) | (Effect::Idempotent, _) => false,
+                (Effect::AtMostOnce, _) => true,
+                (Effect::Tokened, Some((_, at))) => self.now >= at + t.known_for - 0.05,
+            };
+            barred || w.tries >= self.attempts
+        };
+        self.held.values().flatten().find(done).map(|id| Pick::Webhook(*id))
+    }
+
+    /// The holding limit is near: the held webhook with the least still to win makes room.
+    fn no_room(&self) -> Option<Pick> {
+        if self.webhooks.len() < self.holds.max(2) {
+            return None;
+        }
+        let worth = |id: &&u64| self.webhooks.get(id).map_or(0.0, |w| self.value(w, self.now + 1.0));
+        let least = |a: &&u64, b: &&u64| worth(a).total_cmp(&worth(b));
+        self.held.values().flatten().min_by(least).map(|id| Pick::Webhook(*id))
+    }
+
+    fn give_up(&mut self, pick: Pick, out: &mut dyn Outbox) {
+        let Pick::Webhook(id) = pick else { return };
+        if let Some(w) = self.webhooks.get(&id) {
+            if self.may_reject(w) {
+                // A second: most crowds and short refusals are over by then.
+                out.reject(id, self.come_back.min(1.0));
+            } else {
+                out.dead_letter(id);
+            }
+        }
+        self.close(id);
+    }
+
+    // ---- list ----
+
+    fn watch_due(&self) -> Option<Pick> {
+        (self.ask && !self.watching && self.now >= self.ask_at).then_some(Pick::Any)
+    }
+
+    fn ask_list(&mut self, _: Pick, out: &mut dyn Outbox) {
+        out.watch(true);
+        // Asked again well inside the allowed time if no answer comes at all.
+        self.ask_at = self.now + self.within / 3.0;
+    }
+
+    fn aged(&self) -> Option<Pick> {
+        if self.now < self.next_age {
+            return None;
+        }
+        // The design's minute; a route with calls out is in use.
+        let old =
+            |r: &Route| r.calls.is_empty() && r.used + 60.0 < self.now && !(r.ready && r.samples.is_empty());
+        let found = self.routes.iter().find(|(_, r)| old(r));
+        found.map(|(ep, _)| Pick::Route(ep.clone())).or(Some(Pick::Any))
+    }
+
+    fn forget(&mut self, pick: Pick, _: &mut dyn Outbox) {
+        let Pick::Route(ep) = pick else {
+            self.next_age = self.now + 5.0;
+            return;
+        };
+        let first = self.first_window();
+        if let Some(r) = self.routes.get_mut(&ep)
+            && r.ready
+        {
+            r.samples.clear();
+            (r.bad_row, r.open, r.window) = (0, false, first);
+        } else if let Some(r) = self.routes.remove(&ep)
+            && let Some(eps) = self.dests.get_mut(&r.dest)
+        {
+            eps.retain(|x| *x != ep);
+        }
+    }
+
+    // ---- pace and return ----
+
+    fn scope(ep: &Name, r: &Route) -> Scope {
+        (r.dest, r.apart.then(|| ep.clone()))
+    }
+
+    /// Calls a second that a scope takes from all senders: as reported, else as listed.
+    fn rate(&self, r: &Route, m: Option<&Meter>) -> f64 {
+        let mut told: Vec<f64> = m.map_or(Vec::new(), |m| m.limits.iter().copied().collect());
+        told.sort_by(f64::total_cmp);
+        told.get(told.len() / 2).copied().unwrap_or(r.rate)
+    }
+
+    /// Seconds until the scope may take `n` more webhooks in one call; 0 when it may now.
+    fn pace(&self, ep: &Name, r: &Route, joins: bool) -> f64 {
+        let Some(m) = self.meters.get(&Self::scope(ep, r)) else { return 0.0 };
+        if m.wait_until > self.now {
+            return m.wait_until - self.now;
+        }
+        let rate = self.rate(r, Some(m));
+        if rate <= 0.0 {
+            return 0.0;
+        }
+        let mut wait = 0.0_f64;
+        if let Some((left, at)) = m.left
+            && self.now < at + 0.3
+            && left < 0.05
+            && !joins
+        {
+            // Reports come every few tenths of a second; an empty allowance is believed for that long.
+            wait = at + 0.3 - self.now;
+        }
+        if !joins {
+            // Calls are counted over a second, the shortest span that limits here come in.
+            let mine = (rate * m.share).max(1.0 / self.senders);
+            wait = wait.max(self.room_in(m, mine.max(1.0), 1.0_f64.max(1.0 / mine), |_| 1.0, 1.0));
+        }
+        let (from, warm, multiple, span) = self.cold;
+        if m.outage && warm > 0.0 {
+            let since = m.back.map_or(0.0, |b| self.now - b);
+            let part = (from + (1.0 - from) * since / warm).min(1.0);
+            let sure = if m.limits.is_empty() { rate / self.rate_error } else { rate };
+            let mine = (sure * part * multiple / self.senders).max(0.01);
+            let weight = if joins { 0.3 } else { 1.0 };
+            wait = wait.max(self.room_in(m, (mine * span).max(1.0), span.max(1.0 / mine), |x| x, weight));
+        }
+        wait
+    }
+
+    fn room_in(&self, m: &Meter, most: f64, span: f64, weigh: fn(f64) -> f64, more: f64) -> f64 {
+        let mut sum = more;
+        for (at, weight) in m.sent.iter().rev() {
+            if at + span <= self.now {
+                break;
+            }
+            sum += weigh(*weight);
+            if sum > most + 1e-9 {
+                return at + span - self.now;
+            }
+        }
+        0.0
+    }
+
+    fn cooling_off(&mut self, scope: &Scope, wait: f64) {
+        let jitter = self.chance();
+        let (now, senders) = (self.now, self.senders);
+        let m = self.meters.entry(scope.clone()).or_default();
+        if m.full_row == 0 {
+            m.full_since = now;
+        }
+        m.full_row += 1;
+        // Without a told wait: 0.2 s, then twice as long each time up to 1.6 s, since spans last a second or two.
+        let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
+        let pause = if wait > 0.0 { wait + 0.001 } else { own };
+        m.wait_until = m.wait_until.max(now + pause);
+        // A fifth less of the limit, never less than half an even part of it.
+        m.share = (m.share * 0.8).max(0.5 / senders);
+        // Refused longer than any span of a limit lasts: it is shut, which is an outage.
+        if wait > 2.0 || (m.full_row > 1 && now - m.full_since > 2.0) {
+            (m.outage, m.back) = (true, None);
+        }
+    }
+
+    // ---- attempts ----
+
+    fn first_window(&self) -> f64 {
+        // The design's half of the slots, one at least.
+        (self.slots as f64 / 2.0).max(1.0)
+    }
+
+    /// The slowest of the last answers, or a usual one where too few are known.
+    fn slowest(&self, r: &Route) -> f64 {
+        // 0.6 s: unknown partners answer in a few tenths of a second.
+        r.samples.iter().filter(|s| s.good).map(|s| s.took).fold(0.6, f64::max)
+    }
+
+    /// No answer for much longer than answers take, with calls out: no more calls until one is back.
+    fn silent(&self, r: &Route) -> bool {
+        let oldest = r.calls.iter().map(|c| c.at).fold(f64::INFINITY, f64::min);
+        self.now - oldest.max(r.answered) > 2.0 * self.slowest(r)
+    }
+
+    fn stop_at(&self, w: &Webhook, r: &Route) -> f64 {
+        let Some(t) = self.types.get(&w.evt) else { return w.ttl_at };
+        if t.effect == Effect::AtMostOnce {
+            // A time-out could only be dead-lettered.
+            return w.ttl_at;
+        }
+        // Four times the slowest recent answer leaves slow ones alone; the target latency at least, since nothing
+        // is lost before it.
+        (self.now + (4.0 * self.slowest(r)).max(t.target)).min(w.ttl_at)
+    }
+
+    fn end_call(&mut self, id: u64, ep: &str, outcome: Outcome, took: f64, report: Option<(f64, f64)>) {
+        let (now, slots, senders) = (self.now, self.slots as f64, self.senders);
+        let jitter = self.chance();
+        let Some((ep, r)) = self.routes.get_key_value(ep) else { return };
+        let (ep, scope) = (ep.clone(), Self::scope(ep, r));
+        let Some(r) = self.routes.get_mut(&ep) else { return };
+        let Some(at) = r.calls.iter().position(|c| c.webhooks.contains(&id)) else { return };
+        let call = &mut r.calls[at];
+        let (sent_at, trial) = (call.at, call.trial);
+        call.webhooks.remove(&id);
+        if !call.webhooks.is_empty() {
+            return;
+        }
+        r.calls.remove(at);
+        self.busy -= 1;
+        r.used = now;
+        let m = self.meters.entry(scope.clone()).or_default();
+        if let Some((left, limit)) = report
+            && limit > 0.0
+        {
+            m.left = Some((left, now));
+            m.limits.push_back(limit);
+            // The median of the last five reports: they are noisy.
+            if m.limits.len() > 5 {
+                m.limits.pop_front();
+            }
+        }
+        let good = outcome == Outcome::Delivered;
+        let incident = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
+        match outcome {
+            Outcome::Moot(_) | Outcome::Cancelled => return,
+            Outcome::Full(wait) => {
+                r.answered = now;
+                r.window = (r.window / 2.0).max(1.0);
+                if trial {
+                    r.cooling = (r.cooling * 2.0).min(2.0);
+                    r.trial_at = now + r.cooling;
+                }
+                self.cooling_off(&scope, wait);
+                return;
+            }
+            Outcome::Delivered => {
+                r.answered = now;
+                r.bad_row = 0;
+                (m.full_row, m.share) = (0, (m.share + 0.02 / senders).min(1.0));
+                r.window = (r.window + 1.0).min((slots * 0.75).max(1.0));
+                if r.open {
+                    r.open = false;
+                    r.samples.clear();
+                }
+                if m.outage {
+                    m.back.get_or_insert(now);
+                    if m.back.is_some_and(|b| now - b > self.cold.1) {
+                        (m.outage, m.back) = (false, None);
+                    }
+                }
+            }
+            Outcome::Failed => r.answered = now,
+            Outcome::TimedOut | Outcome::ConnectFailed => r.window = (r.window / 2.0).max(1.0),
+            Outcome::Reset => {}
+        }
+        r.samples.push_back(Sample { at: now, good, incident, took });
+        // 30 samples or the design's 10 s, whichever is less.
+        while r.samples.len() > 30 || r.samples.front().is_some_and(|s| s.at < now - 10.0) {
+            r.samples.pop_front();
+        }
+        if good {
+            return;
+        }
+        r.bad_row += 1;
+        let fine = r.samples.iter().filter(|s| s.good).count();
+        let quiet = !r.samples.iter().any(|s| s.good && s.at >= sent_at);
+        // Two in a row with nothing good since the call went out, or most of five: the circuit opens.
+        if (r.bad_row >= 2 && quiet) || (r.samples.len() >= 5 && 2 * fine < r.samples.len()) || trial {
+            r.cooling = if r.open { (r.cooling * 1.5).min(2.0) } else { 0.5 };
+            (r.open, r.trial_at) = (true, now + r.cooling * (0.75 + 0.5 * jitter));
+            (m.outage, m.back) = (true, None);
+        }
+    }
+
+    // ---- the design: gates, score, argmax ----
+
+    /// The weighted score of a route.
+    fn score(&self, r: &Route) -> f64 {
+        let n = r.samples.len() as f64;
+        let (mut done, mut fast, mut calm) = (1.0, 0.5, 1.0);
+        if n >= 5.0 {
+            done = r.samples.iter().filter(|s| s.good).count() as f64 / n;
+            let mean = r.samples.iter().map(|s| s.took).sum::<f64>() / n;
+            // From a quick answer to one past any target latency.
+            fast = 1.0 - (mean.clamp(0.1, 3.0) - 0.1) / 2.9;
+            calm = 1.0 - r.samples.iter().filter(|s| s.incident).count() as f64 / n;
+        }
+        0.5 * done + 0.3 * fast + 0.2 * calm
+    }
+
+    /// Why a route may not take another call now.
+    fn gated(&self, ep: &Name, r: &Route) -> bool {
+        let joins =
+            r.calls.last().is_some_and(|c| c.at == self.now && !c.trial && c.webhooks.len() < r.batch);
+        !r.ready
+            || r.open
+            || (!joins
+                && (r.calls.len() as f64 + 1.0 > r.window || self.busy >= self.slots || self.silent(r)))
+            || self.pace(ep, r, joins) > 0.0
+    }
+
+    /// Routes of a destination that may take a call now, best first.
+    fn routes_now(&self, dest: u64) -> Vec<&Name> {
+        let Some(eps) = self.dests.get(&dest) else { return Vec::new() };
+        let free = |ep: &&Name| self.routes.get(*ep).is_some_and(|r| !self.gated(ep, r));
+        let mut scored: Vec<(f64, u64, &Name)> =
+            eps.iter().filter(free).map(|ep| (self.score(&self.routes[ep]), self.tie(ep), ep)).collect();
+        let top = scored.iter().map(|s| s.0).fold(f64::NEG_INFINITY, f64::max);
+        let stays = self.current.get(&dest);
+        // Within 0.05 of the top all tie: the current route stays, else the hash decides.
+        scored.sort_by(|a, b| {
+            let rank = |s: &(f64, u64, &Name)| {
+                if s.0 >= top - 0.05 { (0, Some(s.2) != stays, 0.0) } else { (1, true, -s.0) }
+            };
+            let (x, y) = (rank(a), rank(b));
+            x.0.cmp(&y.0).then(x.1.cmp(&y.1)).then(x.2.total_cmp(&y.2)).then(a.1.cmp(&b.1))
+        });
+        scored.into_iter().map(|s| s.2).collect()
+    }
+
+    /// FNV-1a over the sender's number and the route's id.
+    fn tie(&self, ep: &str) -> u64 {
+        let bytes = self.number.to_le_bytes().into_iter().chain(ep.bytes());
+        bytes.fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+    }
+
+    // ---- queue ----
+
+    fn over_share(&mut self, customer: &str) -> bool {
+        let (now, senders) = (self.now, self.senders);
+        let Some((quota, _, seen)) = self.customers.get_mut(customer) else { return false };
+        seen.push_back(now);
+        while seen.front().is_some_and(|t| *t < now - 2.0) {
+            seen.pop_front();
+        }
+        // Twice an even part of the share over two seconds: senders carry unequal traffic.
+        seen.len() as f64 > (*quota * 2.0 * 2.0 / senders).max(4.0)
+    }
+
+    /// What a delivery at `at` would still be worth.
+    fn value(&self, w: &Webhook, at: f64) -> f64 {
+        let Some(t) = self.types.get(&w.evt) else { return 0.0 };
+        let past = at - w.target_at;
+        let share = if past <= 0.0 {
+            1.0
+        } else if at > w.ttl_at {
+            0.0
+        } else if t.halves {
+            0.5_f64.powf(past / t.target.max(0.001)).max(t.late)
+        } else {
+            (1.0 - (1.0 - t.late) * past / (w.ttl_at - w.target_at).max(0.001)).max(t.late)
+        };
+        // Value beyond a customer's share counts little; all customers' parts are alike in the settings.
+        let part = self.customers.values().next().map_or(1.0, |c| c.1);
+        t.value * share * if w.over { part } else { 1.0 }
+    }
+
+    /// Order of service, least first: those that can still make the target latency, dearest and soonest first;
+    /// then the late ones, the most valuable first.
+    fn rank(&self, w: &Webhook, usual: f64) -> (u8, f64, f64) {
+        let at = self.now + usual;
+        let value = self.value(w, at);
+        if at <= w.target_at { (0, -value, w.target_at) } else { (1, -value, w.target_at) }
+    }
+
+    fn sendable(&self) -> Option<Pick> {
+        let mut best: Option<((u8, f64, f64), u64, Name)> = None;
+        for (dest, ids) in self.held.iter().filter(|(_, ids)| !ids.is_empty()) {
+            let routes = self.routes_now(*dest);
+            let Some(first) = routes.first() else { continue };
+            let usual = self.slowest(&self.routes[*first]) * 0.7;
+            for id in ids {
+                let Some(w) = self.webhooks.get(id) else { continue };
+                if self.now < w.not_before || !self.has_turn(*id, w) {
+                    continue;
+                }
+                let rank = self.rank(w, usual);
+                if best.as_ref().is_some_and(|b| b.0.partial_cmp(&rank).is_some_and(|o| o.is_le())) {
+                    continue;
+                }
+                let fits = |ep: &&&Name| self.may_repeat(w, &self.routes[**ep].zone);
+                if let Some(ep) = routes.iter().find(fits) {
+                    best = Some((rank, *id, (*ep).clone()));
+                }
+            }
+        }
+        best.map(|(_, id, ep)| Pick::Send(id, ep))
+    }
+
+    /// An open circuit admits one trial call when its time has come: the webhook that loses least by it.
+    fn trial_due(&self) -> Option<Pick> {
+        if self.busy >= self.slots {
+            return None;
+        }
+        for (dest, ids) in self.held.iter().filter(|(_, ids)| !ids.is_empty()) {
+            for ep in self.dests.get(dest).into_iter().flatten() {
+                let Some(r) = self.routes.get(ep) else { continue };
+                let due = r.ready && r.open && r.calls.is_empty() && self.now >= r.trial_at;
+                if !due || self.pace(ep, r, false) > 0.0 {
+                    continue;
+                }
+                let able = |id: &&u64| {
+                    let Some(w) = self.webhooks.get(id) else { return false };
+                    self.now >= w.not_before && self.has_turn(**id, w) && self.may_repeat(w, &r.zone)
+                };
+                let harm = |id: &&u64| {
+                    let effect = self.webhooks.get(id).and_then(|w| self.types.get(&w.evt)).map(|t| t.effect);
+                    (effect == Some(Effect::AtMostOnce), effect == Some(Effect::Tokened))
+                };
+                if let Some(id) = ids.iter().filter(able).min_by_key(harm) {
+                    return Some(Pick::Send(*id, ep.clone()));
+                }
+            }
+        }
+        None
+    }
+
+    fn send(&mut self, pick: Pick, out: &mut dyn Outbox) {
+        let Pick::Send(id, ep) = pick else { return };
+        let (now, senders) = (self.now, self.senders);
+        let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
+        let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
+        out.attempt(id, &ep, stop_at);
+        let Some(r) = self.routes.get_mut(&ep) else { return };
+        let batch = r.batch;
+        let joined = r.calls.last_mut().filter(|c| c.at == now && !c.trial && c.webhooks.len() < batch);
+        let m =
+            self.meters.entry(scope).or_insert_with(|| Meter { share: 1.3 / senders, ..Meter::default() });
+        if let Some(call) = joined {
+            call.webhooks.insert(id);
+            if let Some(last) = m.sent.back_mut() {
+                // A further webhook in a call weighs part of one.
+                last.1 += 0.3;
+            }
+        } else {
+            r.calls.push(Call { at: now, trial, webhooks: BTreeSet::from([id]) });
+            self.busy += 1;
+            m.sent.push_back((now, 1.0));
+            while m.sent.len() > 400 || m.sent.front().is_some_and(|s| s.0 < now - 30.0) {
+                m.sent.pop_front();
+            }
+        }
+        r.used = now;
+        if let Some(w) = self.webhooks.get_mut(&id) {
+            (w.out, w.tries) = (Some(ep.clone()), w.tries + 1);
+        }
+        if let Some(h) = self.held.get_mut(&dest) {
+            h.retain(|x| *x != id);
+        }
+        self.current.insert(dest, ep);
+    }
+
+    fn wake_due(&self) -> Option<Pick> {
+        let idle = self.held.values().all(Vec::is_empty) && !(self.ask && !self.watching);
+        (!idle && self.wake_at.is_none()).then_some(Pick::Any)
+    }
+
+    fn set_wake(&mut self, _: Pick, out: &mut dyn Outbox) {
+        // 10 ms: small against every target latency, and few enough wakes to cost little.
+        self.wake_at = Some(self.now + 0.01);
+        out.wake(0.01, 0);
+    }
+}
