Judge a batch by its first outcome, so that no told wait is missed

Covers any news that a batch's first outcome carries (refusal, failure, report); could hurt where outcomes of one call differed, which the wire rules out.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -74,6 +74,7 @@
 struct Call {
     at: f64,
     trial: bool,
+    judged: bool,
     webhooks: BTreeSet<u64>,
 }
 
@@ -667,12 +668,17 @@
         let Some(at) = r.calls.iter().position(|c| c.webhooks.contains(&id)) else { return };
         let call = &mut r.calls[at];
         let (sent_at, trial) = (call.at, call.trial);
+        // A call with several webhooks has one fate, but its outcomes come one by one: the first is judged at once
+        // (a wait that it tells must not be missed), the last frees the slot.
+        let first = !std::mem::replace(&mut call.judged, true);
         call.webhooks.remove(&id);
-        if !call.webhooks.is_empty() {
+        if call.webhooks.is_empty() {
+            r.calls.remove(at);
+            self.busy -= 1;
+        }
+        if !first {
             return;
         }
-        r.calls.remove(at);
-        self.busy -= 1;
         r.used = now;
         let m = self.meters.entry(scope.clone()).or_default();
         if let Some((left, limit)) = report
@@ -899,7 +905,7 @@
                 last.1 += 0.3;
             }
         } else {
-            r.calls.push(Call { at: now, trial, webhooks: BTreeSet::from([id]) });
+            r.calls.push(Call { at: now, trial, judged: false, webhooks: BTreeSet::from([id]) });
             self.busy += 1;
             m.sent.push_back((now, 1.0));
             while m.sent.len() > 400 || m.sent.front().is_some_and(|s| s.0 < now - 30.0) {
