Time-outs from the slow end of answers; stuck slots are called off

Cause: calls that are never answered (a share at every destination) held all slots for 3 to 16 s, and the room filled. Told from slow destinations by the middle answer time, which stayed at 300 ms while a tenth was never answered. Also holds against hung and silent endpoints; may hurt where answer times vary more than three-fold beyond the slow end.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,7 +33,7 @@
     Any,
 }
 
-const RULES: [Rule; 8] = [
+const RULES: [Rule; 9] = [
     Rule { name: "out-of-time", when: Logic::out_of_time, then: Logic::give_up },
     Rule { name: "spent", when: Logic::spent, then: Logic::give_up },
     Rule { name: "room", when: Logic::no_room, then: Logic::give_up },
@@ -41,6 +41,7 @@
     Rule { name: "age", when: Logic::aged, then: Logic::forget },
     Rule { name: "trial", when: Logic::trial_due, then: Logic::send },
     Rule { name: "send", when: Logic::sendable, then: Logic::send },
+    Rule { name: "stuck", when: Logic::stuck, then: Logic::call_off },
     Rule { name: "wake", when: Logic::wake_due, then: Logic::set_wake },
 ];
 
@@ -75,6 +76,7 @@
     at: f64,
     trial: bool,
     judged: bool,
+    called_off: bool,
     webhooks: BTreeSet<u64>,
 }
 
@@ -636,27 +638,55 @@
         (self.slots as f64 / 2.0).max(1.0)
     }
 
-    /// The slowest of the last answers, or a usual one where too few are known.
-    fn slowest(&self, r: &Route) -> f64 {
-        // 0.6 s: unknown partners answer in a few tenths of a second.
-        r.samples.iter().filter(|s| s.good).map(|s| s.took).fold(0.6, f64::max)
+    /// How long all but the slowest tenth of recent calls took, time-outs among them, so that it follows a route
+    /// that slows down; 0.6 s where too few are known: unknown partners answer in a few tenths of a second.
+    fn slow_end(&self, r: &Route) -> f64 {
+        let mut took: Vec<f64> = r.samples.iter().filter(|s| !s.incident).map(|s| s.took).collect();
+        took.sort_by(f64::total_cmp);
+        if took.len() < 5 { took.last().copied().unwrap_or(0.0).max(0.6) } else { took[took.len() * 9 / 10] }
+    }
+
+    /// When a call is taken for lost: three times the slow end (one call in a hundred takes longer where times
+    /// are exponential), 0.8 s at least for the network and stalls of half a second.
+    fn patience(&self, r: &Route) -> f64 {
+        (3.0 * self.slow_end(r)).max(0.8)
     }
 
     /// No answer for much longer than answers take, with calls out: no more calls until one is back.
     fn silent(&self, r: &Route) -> bool {
         let oldest = r.calls.iter().map(|c| c.at).fold(f64::INFINITY, f64::min);
-        self.now - oldest.max(r.answered) > 2.0 * self.slowest(r)
+        self.now - oldest.max(r.answered) > 0.6 * self.patience(r)
     }
 
     fn stop_at(&self, w: &Webhook, r: &Route) -> f64 {
-        let Some(t) = self.types.get(&w.evt) else { return w.ttl_at };
-        if t.effect == Effect::AtMostOnce {
-            // A time-out could only be dead-lettered.
-            return w.ttl_at;
+        let effect = self.types.get(&w.evt).map(|t| t.effect);
+        // An at-most-once time-out could only be dead-lettered; `stuck` ends it when its slot is needed.
+        let free = matches!(effect, Some(Effect::Idempotent | Effect::Tokened));
+        if free { (self.now + self.patience(r)).min(w.ttl_at) } else { w.ttl_at }
+    }
+
+    /// All slots are taken and a webhook waits: the call that is longest past patience is called off, whatever
+    /// made it hang. It hurts where a slow answer would still have come.
+    fn stuck(&self) -> Option<Pick> {
+        if !self.may_call_off || self.busy < self.slots || self.held.values().all(Vec::is_empty) {
+            return None;
+        }
+        let calls = self.routes.values().flat_map(|r| r.calls.iter().map(move |c| (r, c)));
+        let over = |r: &Route, c: &Call| self.now - c.at - self.patience(r);
+        let past = calls.filter(|(r, c)| !c.called_off && over(r, c) > 0.0);
+        let worst = past.max_by(|a, b| over(a.0, a.1).total_cmp(&over(b.0, b.1)))?;
+        worst.1.webhooks.first().map(|id| Pick::Webhook(*id))
+    }
+
+    fn call_off(&mut self, pick: Pick, out: &mut dyn Outbox) {
+        let Pick::Webhook(id) = pick else { return };
+        let calls = self.routes.values_mut().flat_map(|r| r.calls.iter_mut());
+        for call in calls.filter(|c| c.webhooks.contains(&id)) {
+            call.called_off = true;
+            for id in &call.webhooks {
+                out.call_off(*id, self.webhooks.get(id).map_or(0, |w| w.tries.saturating_sub(1)));
+            }
         }
-        // Four times the slowest recent answer leaves slow ones alone; the target latency at least, since nothing
-        // is lost before it.
-        (self.now + (4.0 * self.slowest(r)).max(t.target)).min(w.ttl_at)
     }
 
     fn end_call(&mut self, id: u64, ep: &str, outcome: Outcome, took: f64, report: Option<(f64, f64)>) {
@@ -840,7 +870,7 @@
         for (dest, ids) in self.held.iter().filter(|(_, ids)| !ids.is_empty()) {
             let routes = self.routes_now(*dest);
             let Some(first) = routes.first() else { continue };
-            let usual = self.slowest(&self.routes[*first]) * 0.7;
+            let usual = self.slow_end(&self.routes[*first]);
             for id in ids {
                 let Some(w) = self.webhooks.get(id) else { continue };
                 if self.now < w.not_before || !self.has_turn(*id, w) {
@@ -905,7 +935,13 @@
                 last.1 += 0.3;
             }
         } else {
-            r.calls.push(Call { at: now, trial, judged: false, webhooks: BTreeSet::from([id]) });
+            r.calls.push(Call {
+                at: now,
+                trial,
+                judged: false,
+                called_off: false,
+                webhooks: BTreeSet::from([id]),
+            });
             self.busy += 1;
             m.sent.push_back((now, 1.0));
             while m.sent.len() > 400 || m.sent.front().is_some_and(|s| s.0 < now - 30.0) {
