--- a/src/logic.rs
+++ b/src/logic.rs
@@ -103,6 +103,12 @@
     cooling: f64,
     answered: f64,
     used: f64,
+    /// Connections are short: the window stays as it is until then.
+    short_until: f64,
+    /// Back from an outage that this sender saw, or still in one: when it answered again, and what was sent.
+    outage: bool,
+    back: Option<f64>,
+    sent: VecDeque<(f64, f64)>,
 }
 
 #[derive(Default)]
@@ -112,8 +118,6 @@
     share: f64,
     full_row: u32,
     full_since: f64,
-    outage: bool,
-    back: Option<f64>,
     limits: VecDeque<f64>,
     left: Option<(f64, f64)>,
 }
@@ -308,6 +312,10 @@
                     cooling: 0.0,
                     answered: now,
                     used: now,
+                    short_until: now,
+                    outage: false,
+                    back: None,
+                    sent: VecDeque::new(),
                 };
                 self.routes.insert(ep, route);
             }
@@ -563,7 +571,8 @@
 
     /// Seconds until the scope may take `n` more webhooks in one call; 0 when it may now.
     fn pace(&self, ep: &Name, r: &Route, joins: bool) -> f64 {
-        let Some(m) = self.meters.get(&Self::scope(ep, r)) else { return 0.0 };
+        let scope = Self::scope(ep, r);
+        let Some(m) = self.meters.get(&scope) else { return 0.0 };
         if m.wait_until > self.now {
             return m.wait_until - self.now;
         }
@@ -583,27 +592,29 @@
         if !joins {
             // Calls are counted over a second, the shortest span that limits here come in.
             let mine = (rate * m.share).max(1.0 / self.senders);
-            wait = wait.max(self.room_in(m, mine.max(1.0), 1.0_f64.max(1.0 / mine), |_| 1.0, 1.0));
+            wait = wait.max(self.room_in(&m.sent, mine.max(1.0), 1.0_f64.max(1.0 / mine), 1.0));
         }
         let (from, warm, multiple, span) = self.cold;
-        if m.outage && warm > 0.0 {
-            let since = m.back.map_or(0.0, |b| self.now - b);
+        if r.outage && warm > 0.0 {
+            let since = r.back.map_or(0.0, |b| self.now - b);
             let part = (from + (1.0 - from) * since / warm).min(1.0);
             let sure = if m.limits.is_empty() { rate / self.rate_error } else { rate };
-            let mine = (sure * part * multiple / self.senders).max(0.01);
+            // Endpoints of one destination share its capacity.
+            let eps = if r.apart { 1 } else { self.dests.get(&r.dest).map_or(1, |d| d.len().max(1)) };
+            let mine = (sure * part * multiple / self.senders / eps as f64).max(0.01);
             let weight = if joins { 0.3 } else { 1.0 };
-            wait = wait.max(self.room_in(m, (mine * span).max(1.0), span.max(1.0 / mine), |x| x, weight));
+            wait = wait.max(self.room_in(&r.sent, (mine * span).max(1.0), span.max(1.0 / mine), weight));
         }
         wait
     }
 
-    fn room_in(&self, m: &Meter, most: f64, span: f64, weigh: fn(f64) -> f64, more: f64) -> f64 {
+    fn room_in(&self, sent: &VecDeque<(f64, f64)>, most: f64, span: f64, more: f64) -> f64 {
         let mut sum = more;
-        for (at, weight) in m.sent.iter().rev() {
+        for (at, weight) in sent.iter().rev() {
             if at + span <= self.now {
                 break;
             }
-            sum += weigh(*weight);
+            sum += weight;
             if sum > most + 1e-9 {
                 return at + span - self.now;
             }
@@ -627,7 +638,22 @@
         m.share = (m.share * 0.8).max(0.5 / senders);
         // Refused longer than any span of a limit lasts: it is shut, which is an outage.
         if wait > 2.0 || (m.full_row > 1 && now - m.full_since > 2.0) {
-            (m.outage, m.back) = (true, None);
+            self.mark_outage(scope, now);
+        }
+    }
+
+    /// An outage was seen in a scope: all its routes that have not answered well since `since` may come back cold.
+    fn mark_outage(&mut self, scope: &Scope, since: f64) {
+        let eps = match &scope.1 {
+            Some(ep) => std::slice::from_ref(ep),
+            None => self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice),
+        };
+        for ep in eps {
+            if let Some(r) = self.routes.get_mut(ep)
+                && !r.samples.iter().any(|s| s.good && s.at >= since)
+            {
+                (r.outage, r.back) = (true, None);
+            }
         }
     }
 
@@ -739,19 +765,27 @@
                 r.answered = now;
                 r.bad_row = 0;
                 (m.full_row, m.share) = (0, (m.share + 0.02 / senders).min(1.0));
-                r.window = (r.window + 1.0).min((slots * 0.75).max(1.0));
+                if now >= r.short_until {
+                    r.window = (r.window + 1.0).min((slots * 0.75).max(1.0));
+                }
                 if r.open {
                     r.open = false;
                     r.samples.clear();
                 }
-                if m.outage {
-                    m.back.get_or_insert(now);
-                    if m.back.is_some_and(|b| now - b > self.cold.1) {
-                        (m.outage, m.back) = (false, None);
+                if r.outage {
+                    r.back.get_or_insert(now);
+                    if r.back.is_some_and(|b| now - b > self.cold.1) {
+                        (r.outage, r.back) = (false, None);
                     }
                 }
             }
             Outcome::Failed => r.answered = now,
+            Outcome::ConnectFailed if r.samples.iter().any(|s| s.good && s.at >= sent_at) => {
+                // No connection, yet others answer: it takes no more of them. The calls that are out show how many
+                // this sender has; 5 s, since idle ones elsewhere close after some seconds.
+                r.window = r.window.min(r.calls.len() as f64).max(1.0);
+                r.short_until = now + 5.0;
+            }
             Outcome::TimedOut | Outcome::ConnectFailed => r.window = (r.window / 2.0).max(1.0),
             Outcome::Reset => {}
         }
@@ -770,7 +804,7 @@
         if (r.bad_row >= 2 && quiet) || (r.samples.len() >= 5 && 2 * fine < r.samples.len()) || trial {
             r.cooling = if r.open { (r.cooling * 1.5).min(2.0) } else { 0.5 };
             (r.open, r.trial_at) = (true, now + r.cooling * (0.75 + 0.5 * jitter));
-            (m.outage, m.back) = (true, None);
+            self.mark_outage(&scope, sent_at);
         }
     }
 
@@ -930,7 +964,7 @@
             self.meters.entry(scope).or_insert_with(|| Meter { share: 1.3 / senders, ..Meter::default() });
         if let Some(call) = joined {
             call.webhooks.insert(id);
-            if let Some(last) = m.sent.back_mut() {
+            if let Some(last) = r.sent.back_mut() {
                 // A further webhook in a call weighs part of one.
                 last.1 += 0.3;
             }
@@ -943,9 +977,12 @@
                 webhooks: BTreeSet::from([id]),
             });
             self.busy += 1;
-            m.sent.push_back((now, 1.0));
-            while m.sent.len() > 400 || m.sent.front().is_some_and(|s| s.0 < now - 30.0) {
-                m.sent.pop_front();
+            for sent in [&mut m.sent, &mut r.sent] {
+                sent.push_back((now, 1.0));
+                // 400 calls or half a minute: longer than any span that they are counted over.
+                while sent.len() > 400 || sent.front().is_some_and(|s| s.0 < now - 30.0) {
+                    sent.pop_front();
+                }
             }
         }
         r.used = now;
