--- a/src/logic.rs
+++ b/src/logic.rs
@@ -87,6 +87,7 @@
     took: f64,
 }
 
+#[derive(Default)]
 struct Route {
     dest: u64,
     zone: Name,
@@ -122,6 +123,7 @@
     left: Option<(f64, f64)>,
 }
 
+#[derive(Default)]
 pub(crate) struct Logic {
     now: f64,
     number: u64,
@@ -171,35 +173,15 @@
             senders: senders.max(1) as f64,
             // A multiply-with-carry state must not be 0 nor all ones; this keeps it inside.
             chance: (seed & 0xffff_ffff) | (1 << 32),
-            types: BTreeMap::new(),
-            webhooks: BTreeMap::new(),
-            key_lines: BTreeMap::new(),
-            key_rests: BTreeMap::new(),
-            key_rest: 0.0,
-            kinds: BTreeMap::new(),
-            ask: false,
             within: f64::INFINITY,
-            watching: false,
             ask_at: now,
-            refusals: 0,
-            routes: BTreeMap::new(),
-            dests: BTreeMap::new(),
-            meters: BTreeMap::new(),
             rate_error: 1.0,
             cold: (1.0, 0.0, f64::INFINITY, 1.0),
-            held: BTreeMap::new(),
             slots: 1,
-            busy: 0,
             holds: 1,
-            come_back: 0.0,
-            customers: BTreeMap::new(),
             attempts: 1,
-            may_call_off: false,
-            retries: VecDeque::new(),
-            current: BTreeMap::new(),
-            fees: BTreeMap::new(),
-            wake_at: None,
             next_age: now,
+            ..Logic::default()
         }
     }
 
@@ -296,26 +278,17 @@
             if !self.routes.contains_key(e.ep) {
                 let ep: Name = e.ep.into();
                 self.dests.entry(e.dest).or_default().push(ep.clone());
+                let (zone, window) = (e.zone.into(), self.first_window());
                 let route = Route {
                     dest: e.dest,
-                    zone: e.zone.into(),
+                    zone,
                     batch,
                     apart,
-                    rate: 0.0,
-                    ready: false,
-                    window: self.first_window(),
-                    calls: Vec::new(),
-                    samples: VecDeque::new(),
-                    bad_row: 0,
-                    open: false,
-                    trial_at: 0.0,
-                    cooling: 0.0,
+                    window,
                     answered: now,
                     used: now,
                     short_until: now,
-                    outage: false,
-                    back: None,
-                    sent: VecDeque::new(),
+                    ..Route::default()
                 };
                 self.routes.insert(ep, route);
             }
@@ -632,8 +605,9 @@
         m.full_row += 1;
         // Without a told wait: 0.2 s, then twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
-        let pause = if wait > 0.0 { wait + 0.001 } else { own };
-        m.wait_until = m.wait_until.max(now + pause);
+        if wait <= 0.0 {
+            m.wait_until = m.wait_until.max(now + own);
+        }
         // A fifth less of the limit, never less than half an even part of it.
         m.share = (m.share * 0.8).max(0.5 / senders);
         // Refused longer than any span of a limit lasts: it is shut, which is an outage.
@@ -732,11 +706,17 @@
             r.calls.remove(at);
             self.busy -= 1;
         }
+        let m = self.meters.entry(scope.clone()).or_default();
+        if let Outcome::Full(wait) = outcome
+            && wait > 0.0
+        {
+            // 1 ms more, so that rounding cannot end it early; a batch tells it again with each outcome, later.
+            m.wait_until = m.wait_until.max(now + wait + 0.001);
+        }
         if !first {
             return;
         }
         r.used = now;
-        let m = self.meters.entry(scope.clone()).or_default();
         if let Some((left, limit)) = report
             && limit > 0.0
         {
