--- a/src/logic.rs
+++ b/src/logic.rs
@@ -597,7 +597,7 @@
 
     fn cooling_off(&mut self, scope: &Scope, wait: f64) {
         let jitter = self.chance();
-        let (now, senders, rate_error) = (self.now, self.senders, self.rate_error);
+        let (now, senders) = (self.now, self.senders);
         let m = self.meters.entry(scope.clone()).or_default();
         if m.full_row == 0 {
             m.full_since = now;
@@ -608,9 +608,8 @@
         if wait <= 0.0 {
             m.wait_until = m.wait_until.max(now + own);
         }
-        // A tenth less of the limit, never less than four fifths of an even part of what is sure.
-        let sure = if m.limits.is_empty() { rate_error } else { 1.0 };
-        m.share = (m.share * 0.9).max(0.8 / senders / sure);
+        // A fifth less of the limit, never less than half an even part of it.
+        m.share = (m.share * 0.8).max(0.5 / senders);
         // Refused longer than any span of a limit lasts: it is shut, which is an outage.
         if wait > 2.0 || (m.full_row > 1 && now - m.full_since > 2.0) {
             self.mark_outage(scope, now);
