--- a/src/logic.rs
+++ b/src/logic.rs
@@ -634,8 +634,8 @@
     // ---- attempts ----
 
     fn first_window(&self) -> f64 {
-        // A quarter of the slots, one at least: half of them opened more connections than endpoints take.
-        (self.slots as f64 / 4.0).max(1.0)
+        // An eighth of the slots, one at least: half of them opened more connections than endpoints take.
+        (self.slots as f64 / 8.0).max(1.0)
     }
 
     /// How long all but the slowest tenth of recent calls took, time-outs among them, so that it follows a route
@@ -746,7 +746,7 @@
                 r.bad_row = 0;
                 (m.full_row, m.share) = (0, (m.share + 0.02 / senders).min(1.0));
                 if now >= r.short_until {
-                    r.window = (r.window + 1.0).min((slots * 0.5).max(1.0));
+                    r.window = (r.window + 1.0).min((slots * 0.33).max(1.0));
                 }
                 if r.open {
                     r.open = false;
