--- a/src/logic.rs
+++ b/src/logic.rs
@@ -595,7 +595,7 @@
         0.0
     }
 
-    fn cooling_off(&mut self, scope: &Scope, wait: f64, outage: bool) {
+    fn cooling_off(&mut self, scope: &Scope, wait: f64) {
         let jitter = self.chance();
         let (now, senders) = (self.now, self.senders);
         let m = self.meters.entry(scope.clone()).or_default();
@@ -608,11 +608,8 @@
         if wait <= 0.0 {
             m.wait_until = m.wait_until.max(now + own);
         }
-        // A fifth less of the limit, never less than half an even part of it; not for being shut, which says
-        // nothing of the limit.
-        if !outage {
-            m.share = (m.share * 0.8).max(0.5 / senders);
-        }
+        // A fifth less of the limit, never less than half an even part of it.
+        m.share = (m.share * 0.8).max(0.5 / senders);
         // Refused longer than any span of a limit lasts: it is shut, which is an outage.
         if wait > 2.0 || (m.full_row > 1 && now - m.full_since > 2.0) {
             self.mark_outage(scope, now);
@@ -741,8 +738,7 @@
                     r.cooling = (r.cooling * 2.0).min(2.0);
                     r.trial_at = now + r.cooling;
                 }
-                let outage = r.outage;
-                self.cooling_off(&scope, wait, outage);
+                self.cooling_off(&scope, wait);
                 return;
             }
             Outcome::Delivered => {
