--- a/src/logic.rs
+++ b/src/logic.rs
@@ -563,9 +563,10 @@
             wait = at + 0.3 - self.now;
         }
         if !joins {
-            // Calls are counted over 0.4 s: short of every target latency, and long bursts fill small queues.
+            // Whole calls in about a second, the shortest span that limits here come in.
             let mine = (rate * m.share).max(1.0 / self.senders);
-            wait = wait.max(self.room_in(&m.sent, (mine * 0.4).max(1.0), 0.4_f64.max(1.0 / mine), 1.0));
+            let most = mine.ceil();
+            wait = wait.max(self.room_in(&m.sent, most, most / mine, 1.0));
         }
         let (from, warm, multiple, span) = self.cold;
         if r.outage && warm > 0.0 {
