--- a/src/logic.rs
+++ b/src/logic.rs
@@ -565,7 +565,7 @@
         if !joins {
             // Whole calls in about a second, the shortest span that limits here come in.
             let mine = (rate * m.share).max(1.0 / self.senders);
-            let most = (mine * 0.4).ceil();
+            let most = mine.ceil();
             wait = wait.max(self.room_in(&m.sent, most, most / mine, 1.0));
         }
         let (from, warm, multiple, span) = self.cold;
