Cold budget as due times, so that whole batches go in a cold call

Evenly spaced calls also suit small cold endpoints; may hurt where a cold one could have taken a burst.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -106,16 +106,17 @@
     used: f64,
     /// Connections are short: the window stays as it is until then.
     short_until: f64,
-    /// Back from an outage that this sender saw, or still in one: when it answered again, and what was sent.
+    /// Back from an outage that this sender saw, or still in one: when it answered again, and when this sender's
+    /// part of the cold budget has room for the next call.
     outage: bool,
     back: Option<f64>,
-    sent: VecDeque<(f64, f64)>,
+    cold_due: f64,
 }
 
 #[derive(Default)]
 struct Meter {
     wait_until: f64,
-    sent: VecDeque<(f64, f64)>,
+    sent: VecDeque<f64>,
     share: f64,
     full_row: u32,
     full_since: f64,
@@ -542,58 +543,35 @@
         told.get(told.len() / 2).copied().unwrap_or(r.rate)
     }
 
-    /// Seconds until the scope may take `n` more webhooks in one call; 0 when it may now.
-    fn pace(&self, ep: &Name, r: &Route, joins: bool) -> f64 {
-        let scope = Self::scope(ep, r);
-        let Some(m) = self.meters.get(&scope) else { return 0.0 };
-        if m.wait_until > self.now {
-            return m.wait_until - self.now;
+    /// Calls a second that are this sender's part of what a route back from an outage can take.
+    fn cold_rate(&self, r: &Route, m: Option<&Meter>) -> f64 {
+        let (from, warm, multiple, _) = self.cold;
+        let since = r.back.map_or(0.0, |b| self.now - b);
+        let part = (from + (1.0 - from) * since / warm).min(1.0);
+        let told = m.is_some_and(|m| !m.limits.is_empty());
+        let sure = self.rate(r, m) / if told { 1.0 } else { self.rate_error };
+        // Endpoints of one destination share its capacity.
+        let eps = if r.apart { 1 } else { self.dests.get(&r.dest).map_or(1, |d| d.len().max(1)) };
+        // One call in 100 s at least: a rate that is not listed must not shut a route for good.
+        (sure * part * multiple / self.senders / eps as f64).max(0.01)
+    }
+
+    /// Whether the scope must wait before it takes a call, or a further webhook in a call of this turn.
+    fn paced(&self, ep: &Name, r: &Route, joins: bool) -> bool {
+        let Some(m) = self.meters.get(&Self::scope(ep, r)) else { return false };
+        if m.wait_until > self.now || joins {
+            return m.wait_until > self.now;
         }
-        let rate = self.rate(r, Some(m));
-        if rate <= 0.0 {
-            return 0.0;
-        }
-        let mut wait = 0.0_f64;
-        if let Some((left, at)) = m.left
-            && self.now < at + 0.3
-            && left < 0.05
-            && !joins
-        {
-            // Reports come every few tenths of a second; an empty allowance is believed for that long.
-            wait = at + 0.3 - self.now;
-        }
-        if !joins {
-            // Whole calls in about a second, the shortest span that limits here come in.
-            let mine = (rate * m.share).max(1.0 / self.senders);
-            let most = mine.ceil();
-            wait = wait.max(self.room_in(&m.sent, most, most / mine, 1.0));
-        }
-        let (from, warm, multiple, span) = self.cold;
-        if r.outage && warm > 0.0 {
-            let since = r.back.map_or(0.0, |b| self.now - b);
-            let part = (from + (1.0 - from) * since / warm).min(1.0);
-            let sure = if m.limits.is_empty() { rate / self.rate_error } else { rate };
-            // Endpoints of one destination share its capacity.
-            let eps = if r.apart { 1 } else { self.dests.get(&r.dest).map_or(1, |d| d.len().max(1)) };
-            let mine = (sure * part * multiple / self.senders / eps as f64).max(0.01);
-            let weight = if joins { 0.3 } else { 1.0 };
-            wait = wait.max(self.room_in(&r.sent, (mine * span).max(1.0), span.max(1.0 / mine), weight));
-        }
-        wait
-    }
-
-    fn room_in(&self, sent: &VecDeque<(f64, f64)>, most: f64, span: f64, more: f64) -> f64 {
-        let mut sum = more;
-        for (at, weight) in sent.iter().rev() {
-            if at + span <= self.now {
-                break;
-            }
-            sum += weight;
-            if sum > most + 1e-9 {
-                return at + span - self.now;
-            }
+        // Reports come every few tenths of a second; an empty allowance is believed for that long.
+        if m.left.is_some_and(|(left, at)| self.now < at + 0.3 && left < 0.05) {
+            return true;
         }
-        0.0
+        let rate = self.rate(r, Some(m));
+        let mine = (rate * m.share).max(1.0 / self.senders);
+        // Whole calls in about a second, the shortest span that limits here come in.
+        let most = mine.ceil();
+        let recent = m.sent.iter().rev().take_while(|at| **at + most / mine > self.now).count();
+        (rate > 0.0 && recent as f64 >= most) || (r.outage && self.now < r.cold_due)
     }
 
     fn cooling_off(&mut self, scope: &Scope, wait: f64) {
@@ -813,7 +791,7 @@
             || r.open
             || (!joins
                 && (r.calls.len() as f64 + 1.0 > r.window || self.busy >= self.slots || self.silent(r)))
-            || self.pace(ep, r, joins) > 0.0
+            || self.paced(ep, r, joins)
     }
 
     /// Routes of a destination that may take a call now, best first.
@@ -913,7 +891,7 @@
             for ep in self.dests.get(dest).into_iter().flatten() {
                 let Some(r) = self.routes.get(ep) else { continue };
                 let due = r.ready && r.open && r.calls.is_empty() && self.now >= r.trial_at;
-                if !due || self.pace(ep, r, false) > 0.0 {
+                if !due || self.paced(ep, r, false) {
                     continue;
                 }
                 let able = |id: &&u64| {
@@ -937,6 +915,7 @@
         let (now, senders) = (self.now, self.senders);
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
+        let cold_rate = self.cold_rate(r, self.meters.get(&scope));
         out.attempt(id, &ep, stop_at);
         let Some(r) = self.routes.get_mut(&ep) else { return };
         let batch = r.batch;
@@ -945,10 +924,8 @@
             self.meters.entry(scope).or_insert_with(|| Meter { share: 1.3 / senders, ..Meter::default() });
         if let Some(call) = joined {
             call.webhooks.insert(id);
-            if let Some(last) = r.sent.back_mut() {
-                // A further webhook in a call weighs part of one.
-                last.1 += 0.3;
-            }
+            // A further webhook in a call is some more work for the destination, about a quarter of a call.
+            r.cold_due += if r.outage { 0.25 / cold_rate } else { 0.0 };
         } else {
             r.calls.push(Call {
                 at: now,
@@ -958,12 +935,11 @@
                 webhooks: BTreeSet::from([id]),
             });
             self.busy += 1;
-            for sent in [&mut m.sent, &mut r.sent] {
-                sent.push_back((now, 1.0));
-                // 400 calls or half a minute: longer than any span that they are counted over.
-                while sent.len() > 400 || sent.front().is_some_and(|s| s.0 < now - 30.0) {
-                    sent.pop_front();
-                }
+            r.cold_due = r.cold_due.max(now) + if r.outage { 1.0 / cold_rate } else { 0.0 };
+            m.sent.push_back(now);
+            // 400 calls or half a minute: longer than any span that they are counted over.
+            while m.sent.len() > 400 || m.sent.front().is_some_and(|at| *at < now - 30.0) {
+                m.sent.pop_front();
             }
         }
         r.used = now;
