--- a/src/logic.rs
+++ b/src/logic.rs
@@ -723,8 +723,7 @@
             Outcome::Delivered => {
                 r.answered = now;
                 r.bad_row = 0;
-                // 2 % more with each call delivered, so that a sender with most of the traffic gets its part soon.
-                (m.full_row, m.share) = (0, (m.share * 1.02).min(1.0));
+                (m.full_row, m.share) = (0, (m.share + 0.02 / senders).min(1.0));
                 if now >= r.short_until {
                     r.window = (r.window + 1.0).min((slots * 0.33).max(1.0));
                 }
