Patience from answers only; an outage needs three lost calls or a failed trial

Told from hung endpoints by calls to the same endpoint, sent in the same second, that are answered in 0.1 s. Holds against resets and connects that fail now and then too; may be late by one call to see a real outage.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -617,18 +617,19 @@
         (self.slots as f64 / 8.0).max(1.0)
     }
 
-    /// How long all but the slowest tenth of recent calls took, time-outs among them, so that it follows a route
-    /// that slows down; 0.6 s where too few are known: unknown partners answer in a few tenths of a second.
+    /// How long all but the slowest tenth of recent answers took; 0.6 s at least where few are known: unknown
+    /// partners answer in a few tenths of a second.
     fn slow_end(&self, r: &Route) -> f64 {
-        let mut took: Vec<f64> = r.samples.iter().filter(|s| !s.incident).map(|s| s.took).collect();
+        let mut took: Vec<f64> = r.samples.iter().filter(|s| s.good).map(|s| s.took).collect();
         took.sort_by(f64::total_cmp);
         if took.len() < 5 { took.last().copied().unwrap_or(0.0).max(0.6) } else { took[took.len() * 9 / 10] }
     }
 
     /// When a call is taken for lost: three times the slow end (one call in a hundred takes longer where times
-    /// are exponential), 0.8 s at least for the network and stalls of half a second.
+    /// are exponential), 0.8 s at least for the network and stalls of half a second. Twice as long for each call
+    /// lost in a row, up to eight times, so that it follows a route that slows down but not one that loses some.
     fn patience(&self, r: &Route) -> f64 {
-        (3.0 * self.slow_end(r)).max(0.8)
+        (3.0 * self.slow_end(r)).max(0.8) * f64::from(1 << r.bad_row.min(3))
     }
 
     /// No answer for much longer than answers take, with calls out: no more calls until one is back.
@@ -763,7 +764,10 @@
         if (r.bad_row >= 2 && quiet) || (r.samples.len() >= 5 && 2 * fine < r.samples.len()) || trial {
             r.cooling = if r.open { (r.cooling * 1.5).min(2.0) } else { 0.5 };
             (r.open, r.trial_at) = (true, now + r.cooling * (0.75 + 0.5 * jitter));
-            self.mark_outage(&scope, sent_at);
+            // One lost call more, or a failed trial, and it is an outage; fewer can be chance where calls get lost.
+            if trial || r.bad_row >= 3 {
+                self.mark_outage(&scope, sent_at);
+            }
         }
     }
 
