--- a/src/logic.rs
+++ b/src/logic.rs
@@ -625,17 +625,17 @@
         if took.len() < 5 { took.last().copied().unwrap_or(0.0).max(0.6) } else { took[took.len() * 9 / 10] }
     }
 
-    /// When a call is taken for lost: twice the slow end (one call in a hundred takes longer where times
+    /// When a call is taken for lost: three times the slow end (one call in a hundred takes longer where times
     /// are exponential), 0.8 s at least for the network and stalls of half a second. Twice as long for each call
     /// lost in a row, up to eight times, so that it follows a route that slows down but not one that loses some.
     fn patience(&self, r: &Route) -> f64 {
-        (2.0 * self.slow_end(r)).max(0.8) * f64::from(1 << r.bad_row.min(3))
+        (3.0 * self.slow_end(r)).max(0.8) * f64::from(1 << r.bad_row.min(3))
     }
 
     /// No answer for much longer than answers take, with calls out: no more calls until one is back.
     fn silent(&self, r: &Route) -> bool {
         let oldest = r.calls.iter().map(|c| c.at).fold(f64::INFINITY, f64::min);
-        self.now - oldest.max(r.answered) > 0.8 * self.patience(r)
+        self.now - oldest.max(r.answered) > 0.6 * self.patience(r)
     }
 
     fn stop_at(&self, w: &Webhook, r: &Route) -> f64 {
