Patience shrinks from 3.5 to 2 slow ends as isolated losses rise

Should cover flaky networks and dropped answers; may hurt where single calls are far slower than the rest.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -160,6 +160,8 @@
     attempts: u32,
     may_call_off: bool,
     retries: VecDeque<bool>,
+    /// The last calls of all routes: lost between good answers, or answered.
+    lost: VecDeque<bool>,
     current: BTreeMap<u64, Name>,
     fees: BTreeMap<Name, f64>,
     wake_at: Option<f64>,
@@ -625,11 +627,14 @@
         if took.len() < 5 { took.last().copied().unwrap_or(0.0).max(0.6) } else { took[took.len() * 9 / 10] }
     }
 
-    /// When a call is taken for lost: three times the slow end (one call in a hundred takes longer where times
-    /// are exponential), 0.8 s at least for the network and stalls of half a second. Twice as long for each call
-    /// lost in a row, up to eight times, so that it follows a route that slows down but not one that loses some.
+    /// When a call is taken for lost: over three times the slow end (one call in a hundred takes longer where
+    /// times are exponential), down to twice where a tenth of calls get lost; 0.8 s at least for the network and
+    /// stalls of half a second. Twice as long for each call lost in a row, up to eight times, so that it follows
+    /// a route that slows down.
     fn patience(&self, r: &Route) -> f64 {
-        (3.0 * self.slow_end(r)).max(0.8) * f64::from(1 << r.bad_row.min(3))
+        let lost = self.lost.iter().filter(|l| **l).count() as f64 / 60.0;
+        let times = (3.5 - 15.0 * lost).max(2.0);
+        (times * self.slow_end(r)).max(0.8) * f64::from(1 << r.bad_row.min(3))
     }
 
     /// No answer for much longer than answers take, with calls out: no more calls until one is back.
@@ -723,6 +728,11 @@
             }
             Outcome::Delivered => {
                 r.answered = now;
+                // One or two unanswered calls before a good answer were lost; more would be an outage.
+                let lost = if r.bad_row < 3 { r.bad_row as usize } else { 0 };
+                self.lost.extend(std::iter::repeat_n(true, lost).chain([false]));
+                // The last 60: enough to tell one in twenty from one in ten.
+                self.lost.drain(..self.lost.len().saturating_sub(60));
                 r.bad_row = 0;
                 (m.full_row, m.share) = (0, (m.share + 0.02 / senders).min(1.0));
                 if now >= r.short_until {
