--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -58,12 +58,6 @@
         let batch = batches.get(i).and_then(Value::as_u64).unwrap_or(1);
         sender.set_kind(name, batch as usize, apart.get(i).and_then(Value::as_bool).unwrap_or(false));
     }
-    let fees = part(info, "fee-by-zone")?;
-    for (zone, fee) in part(facts, "zones")?.iter().zip(fees) {
-        if let (Some(zone), Some(fee)) = (zone.as_str(), fee.as_f64()) {
-            sender.set_zone_fee(zone, fee);
-        }
-    }
     let over = number_if(EVENT, facts, "over-share-worth", 1.0)?;
     for customer in part(facts, "orgs")? {
         let quota = number_if(EVENT, customer, "quota-per-s", f64::MAX.sqrt())?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,8 +73,6 @@
     fn wake(&mut self, after: f64, handle: u64);
     /// Watch the endpoint list for changes, or stop watching.
     fn watch(&mut self, on: bool);
-    /// Close idle connections to an endpoint.
-    fn close_idle(&mut self, ep: &str);
     /// Write a line for those on call.
     fn log(&mut self, text: &str);
 }
@@ -105,11 +103,6 @@
         self.0.set_kind(name, batch, apart);
     }
 
-    /// What a route apart costs in a zone, in points of the result for each webhook that it takes on.
-    pub fn set_zone_fee(&mut self, zone: &str, fee: f64) {
-        self.0.set_zone_fee(zone, fee);
-    }
-
     /// A customer's share of the traffic: webhooks a second from all senders; value beyond it counts `over` times.
     pub fn set_customer(&mut self, name: &str, quota: f64, over: f64) {
         self.0.set_customer(name, quota, over);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -163,7 +163,6 @@
     /// The last calls of all routes: lost between good answers, or answered.
     lost: VecDeque<bool>,
     current: BTreeMap<u64, Name>,
-    fees: BTreeMap<Name, f64>,
     wake_at: Option<f64>,
     next_age: f64,
 }
@@ -205,10 +204,6 @@
         self.kinds.insert(name.into(), (batch.max(1), apart));
     }
 
-    pub fn set_zone_fee(&mut self, zone: &str, fee: f64) {
-        self.fees.insert(zone.into(), fee);
-    }
-
     pub fn set_customer(&mut self, name: &str, quota: f64, over: f64) {
         self.customers.insert(name.into(), (quota, over, VecDeque::new()));
     }
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,254 @@
+mod helpers;
+
+use helpers::play;
+
+/// What a case looks for in the actions.
+enum Want {
+    /// Exactly these, in order.
+    Acts(&'static [&'static str]),
+    /// These do occur.
+    Has(&'static [&'static str]),
+    /// Nothing with this text occurs.
+    Not(&'static str),
+    /// So many sends in this span.
+    Sends(f64, f64, std::ops::RangeInclusive<usize>),
+    /// The watch was asked for so many times.
+    Watches(usize),
+}
+use Want::{Acts, Has, Not, Sends, Watches};
+
+fn holds(want: &Want, acts: &[String]) -> bool {
+    match want {
+        Acts(list) => acts == *list,
+        Has(list) => list.iter().all(|a| acts.iter().any(|x| x == a)),
+        Not(text) => !acts.iter().any(|x| x.contains(text)),
+        Watches(n) => acts.iter().filter(|a| a.ends_with("watch true")).count() == *n,
+        Sends(from, to, n) => {
+            let sent = acts.iter().filter(|a| a.contains(" send "));
+            let at = |a: &&String| a.split(' ').next().and_then(|t| t.parse::<f64>().ok()).unwrap();
+            n.contains(&sent.filter(|a| at(a) >= *from && at(a) <= *to).count())
+        }
+    }
+}
+
+fn check(cases: &[(&str, (usize, usize, u64, bool), &str, &[Want])]) {
+    for (name, (slots, room, senders, ask), script, wants) in cases {
+        let acts = play(*slots, *room, *senders, *ask, script);
+        for (i, want) in wants.iter().enumerate() {
+            assert!(holds(want, &acts), "{name}: expectation {i} does not hold for\n{acts:#?}");
+        }
+    }
+}
+
+/// 64 slots make a first window of 8.
+const ONE: (usize, usize, u64, bool) = (64, 50, 1, false);
+
+#[test]
+fn what_may_have_run() {
+    check(&[
+        (
+            "an at-most-once webhook whose time-out says nothing is dead-lettered at once",
+            ONE,
+            "0 list a:z:plain:50\n0.1 hand 1 once\n1 end 1 a lost",
+            &[Acts(&["0.1 send 1 a", "1.0 dead 1"])],
+        ),
+        (
+            "an error may have run, too",
+            ONE,
+            "0 list a:z:plain:50\n0.1 hand 1 once\n1 end 1 a error",
+            &[Acts(&["0.1 send 1 a", "1.0 dead 1"])],
+        ),
+        (
+            "a failed connect proves that it never ran: it goes again",
+            ONE,
+            "0 list a:z:plain:50\n0.1 hand 1 once\n1 end 1 a noconn\n2 pass",
+            &[Has(&["0.1 send 1 a"]), Sends(1.0, 2.0, 1..=1), Not("dead")],
+        ),
+        (
+            "an idempotent webhook goes again after any loss",
+            ONE,
+            "0 list a:z:plain:50\n0.1 hand 1 idem\n1 end 1 a reset\n2 pass",
+            &[Sends(1.0, 2.0, 1..=1)],
+        ),
+        (
+            "a tokened one does not cross zones once it may have run",
+            ONE,
+            "0 list a:z:plain:50\n0.1 hand 1 token\n0.2 changes a:z:plain:50:gone b:y:plain:50\n1 end 1 a lost\n9 pass",
+            &[Not("send 1 b"), Not("reject"), Has(&["4.1 dead 1"])],
+        ),
+        (
+            "a tokened one that never ran may cross",
+            ONE,
+            "0 list a:z:plain:50\n0.1 hand 1 token\n0.2 changes a:z:plain:50:gone b:y:plain:50\n1 end 1 a noconn\n2 pass",
+            &[Not("dead"), Sends(1.0, 2.0, 1..=1)],
+        ),
+        (
+            "what was withdrawn is not sent again",
+            ONE,
+            "0 list a:z:plain:50\n0.1 hand 1 idem\n0.2 gone 1\n1 end 1 a lost\n3 pass",
+            &[Acts(&["0.1 send 1 a"])],
+        ),
+    ]);
+}
+
+#[test]
+fn time_and_room() {
+    check(&[
+        (
+            "held to the end of its TTL where no endpoint is listed, then rejected with a time to come back",
+            ONE,
+            "0 hand 1 idem\n7.9 pass\n8.1 pass",
+            &[Acts(&["8.0 reject 1 0.5"])],
+        ),
+        (
+            "an event type that no setting names is rejected at once",
+            ONE,
+            "0 hand 1 what",
+            &[Acts(&["0.0 reject 1 0.5"])],
+        ),
+        (
+            "when the room is short the least valuable goes, not the newest",
+            (8, 3, 1, false),
+            "0 hand 1 once\n0 hand 2 idem\n0.1 hand 3 once",
+            &[Acts(&["0.1 reject 2 0.5"])],
+        ),
+        (
+            "no slots: held and answered, never sent",
+            (0, 50, 1, false),
+            "0 list a:z:plain:50\n0 hand 1 idem\n9 pass",
+            &[Not("send"), Has(&["8.0 reject 1 0.5"])],
+        ),
+        (
+            // Lost at-most-once calls once kept every slot until TTL.
+            "a stuck call is called off when its slot is needed",
+            (1, 50, 1, false),
+            "0 list a:z:plain:50 b:z:plain:50\n0 hand 1 once\n0.5 hand 2 idem\n6 pass",
+            &[Sends(0.0, 6.0, 1..=1), Has(&["2.1 off 1 0"])],
+        ),
+    ]);
+}
+
+#[test]
+fn waits_and_batches() {
+    check(&[
+        (
+            "webhooks of one turn share a call up to its size",
+            (1, 50, 1, false),
+            "0 list a:z:bulk:50\n0 hand 1 idem\n0 hand 2 idem\n0 hand 3 idem\n0 hand 4 idem",
+            &[Acts(&["0.0 send 1 a", "0.0 send 2 a", "0.0 send 3 a"])],
+        ),
+        (
+            // Outcomes of a batch come one by one; a send between the first and the last broke a wait.
+            "the first outcome of a batch already binds",
+            ONE,
+            "0 list a:z:bulk:50\n0 hand 1 idem\n0 hand 2 idem\n0.1 end 1 a full 0.5\n0.2 hand 3 idem\n0.2 end 2 a full 0.5\n0.65 pass\n2 pass",
+            &[Sends(0.1, 0.69, 0..=0), Sends(0.7, 2.0, 3..=3)],
+        ),
+        (
+            "a wait holds for all endpoints that are not apart",
+            ONE,
+            "0 list a:z:plain:50 b:z:plain:50\n0 hand 1 idem\n0.1 end 1 a full 1\n0.1 end 1 b full 1\n0.2 hand 2 idem\n1.0 pass\n2 pass",
+            &[Sends(0.1, 1.09, 0..=0), Sends(1.1, 2.0, 2..=2)],
+        ),
+        (
+            "a wait holds for one route where they are apart",
+            ONE,
+            "0 list a:z:bulk:50\n0 hand 1 idem\n0.1 end 1 a full 5\n0.2 changes b:z:bulk:50\n0.5 hand 2 idem\n1 pass",
+            &[Has(&["0.2 send 1 b", "0.5 send 2 b"]), Not("send 2 a")],
+        ),
+    ]);
+}
+
+#[test]
+fn order_by_key() {
+    check(&[
+        (
+            "one key goes one at a time",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 line k\n0 hand 2 line k\n0 hand 3 line j\n1 end 1 a ok",
+            &[Acts(&["0.0 send 1 a", "0.0 send 3 a", "1.0 send 2 a"])],
+        ),
+        (
+            "after a time-out the key rests for those behind, not for the one that has the turn",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 line k\n0 hand 2 line k\n1 end 1 a lost\n1.2 pass\n1.25 end 1 a ok\n1.28 pass\n2 pass",
+            &[Has(&["1.1 send 1 a"]), Sends(1.2, 1.29, 0..=0), Sends(1.3, 2.0, 1..=1)],
+        ),
+        (
+            "a withdrawn one keeps its turn until its attempt has an outcome",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 line k\n0 hand 2 line k\n0.5 gone 1\n0.9 pass\n1 end 1 a lost\n1.2 pass\n2 pass",
+            &[Sends(0.1, 1.2, 0..=0), Sends(1.3, 2.0, 1..=1)],
+        ),
+    ]);
+}
+
+#[test]
+fn the_list() {
+    check(&[
+        (
+            "nothing new to an endpoint that drains",
+            ONE,
+            "0 list a:z:plain:50 b:z:plain:50\n0.1 changes a:z:plain:50:gone\n0.2 hand 1 idem\n0.3 hand 2 idem",
+            &[Not(" a"), Sends(0.2, 0.3, 2..=2)],
+        ),
+        (
+            "an endpoint missing from a whole list is gone",
+            ONE,
+            "0 list a:z:plain:50\n0.1 list b:z:plain:50\n0.2 hand 1 idem",
+            &[Acts(&["0.2 send 1 b"])],
+        ),
+        (
+            "the list is watched where it must be asked for, and not again while the watch stands",
+            (64, 50, 1, true),
+            "0 refused\n1.3 pass\n2 list a:z:plain:50\n30 hand 1 idem\n31 pass",
+            &[Has(&["30.0 send 1 a"]), Watches(1)],
+        ),
+        (
+            "a watch that failed is asked for again, each time later, well inside the limit",
+            (64, 50, 1, true),
+            "0 refused\n1.4 pass\n1.5 refused\n4.5 pass\n4.6 list a:z:plain:50\n20 pass",
+            &[Watches(2)],
+        ),
+    ]);
+}
+
+#[test]
+fn outages_and_returns() {
+    // Six webhooks every half second, answered or not as the case says.
+    let lost = "0 list a:z:plain:6\n0 hand 1 idem\n1.9 end 1 a lost\n2 hand 2 idem\n4 end 1 a lost\n6 end 2 a lost\n6.1 end 1 a lost";
+    check(&[
+        (
+            "calls to a silent endpoint stop: webhooks are held",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 idem\n3 hand 2 idem\n3 hand 3 idem\n4 pass",
+            &[Acts(&["0.0 send 1 a"])],
+        ),
+        (
+            "lost calls open the circuit: trials only",
+            ONE,
+            &format!("{lost}\n6.2 hand 5 idem\n6.2 hand 6 idem\n6.3 pass"),
+            &[Sends(6.15, 6.35, 0..=0)],
+        ),
+        (
+            // Two failed connects once throttled a destination that answered others for the rest of the day.
+            "a lack of connections is no outage",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 idem\n0 hand 2 idem\n0.2 end 2 a ok\n1 end 1 a noconn\n1.2 hand 3 idem\n1.3 pass\n1.4 end 1 a ok\n1.5 pass",
+            &[Sends(1.05, 1.5, 2..=2)],
+        ),
+        (
+            // One lost call now and then once counted as an outage, whose cold budget throttled small senders.
+            "calls lost between good answers are no outage",
+            (64, 50, 4, false),
+            "0 list a:z:plain:40\n0 hand 1 idem\n0.1 end 1 a ok\n1 hand 2 idem\n3 end 2 a lost\n3.2 end 2 a ok\n4 hand 3 idem\n4 hand 4 idem\n4.2 pass",
+            &[Sends(3.9, 4.2, 1..=2)],
+        ),
+        (
+            "shut longer than any span of a limit: cold when it opens, so no rush",
+            ONE,
+            "0 list a:z:plain:4\n0 hand 1 idem\n0.1 end 1 a full 3\n1 hand 2 idem\n1 hand 3 idem\n1 hand 4 idem\n1 hand 5 idem\n3.2 end 1 a ok\n3.4 pass",
+            &[Sends(0.05, 3.0, 0..=0), Sends(3.0, 3.45, 1..=1)],
+        ),
+    ]);
+}
