--- a/src/logic.rs
+++ b/src/logic.rs
@@ -962,8 +962,8 @@
     }
 
     fn wake_due(&self) -> Option<Pick> {
-        let idle = self.held.values().all(Vec::is_empty) && !(self.ask && !self.watching);
-        (!idle && self.wake_at.is_none()).then_some(Pick::Any)
+        let waits = self.held.values().any(|h| !h.is_empty()) || (self.ask && !self.watching);
+        (waits && self.wake_at.is_none()).then_some(Pick::Any)
     }
 
     fn set_wake(&mut self, _: Pick, out: &mut dyn Outbox) {
