--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -31,7 +31,12 @@
     }
 }
 
-fn check(cases: &[(&str, (usize, usize, u64, bool), &str, &[Want])]) {
+/// Slots, holding limit, number of senders, and whether the list must be asked for.
+type Setting = (usize, usize, u64, bool);
+/// A name, the setting, the script and what is wanted.
+type Case<'a> = (&'a str, Setting, &'a str, &'a [Want]);
+
+fn check(cases: &[Case]) {
     for (name, (slots, room, senders, ask), script, wants) in cases {
         let acts = play(*slots, *room, *senders, *ask, script);
         for (i, want) in wants.iter().enumerate() {
@@ -41,7 +46,7 @@
 }
 
 /// 64 slots make a first window of 8.
-const ONE: (usize, usize, u64, bool) = (64, 50, 1, false);
+const ONE: Setting = (64, 50, 1, false);
 
 #[test]
 fn what_may_have_run() {
