Scarce connections are told from an outage over four seconds; idle ones are closed then

Told from an outage by answers within 4 s of a failed connect, to the same endpoint. Covers flaky connects of any cause; may take an outage of under 4 s for scarcity.

--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -83,6 +83,9 @@
     fn watch(&mut self, on: bool) {
         self.0.push(json!({"kind": "Subscribe", "want": on}));
     }
+    fn close_idle(&mut self, ep: &str) {
+        self.0.push(json!({"kind": "FreeLinks", "receiver": ep}));
+    }
     fn log(&mut self, text: &str) {
         self.0.push(json!({"kind": "Record", "body-text": text}));
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,8 @@
     fn wake(&mut self, after: f64, handle: u64);
     /// Watch the endpoint list for changes, or stop watching.
     fn watch(&mut self, on: bool);
+    /// Close the idle connections to an endpoint.
+    fn close_idle(&mut self, ep: &str);
     /// Write a line for those on call.
     fn log(&mut self, text: &str);
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,7 +33,7 @@
     Any,
 }
 
-const RULES: [Rule; 9] = [
+const RULES: [Rule; 10] = [
     Rule { name: "out-of-time", when: Logic::out_of_time, then: Logic::give_up },
     Rule { name: "spent", when: Logic::spent, then: Logic::give_up },
     Rule { name: "room", when: Logic::no_room, then: Logic::give_up },
@@ -42,6 +42,7 @@
     Rule { name: "trial", when: Logic::trial_due, then: Logic::send },
     Rule { name: "send", when: Logic::sendable, then: Logic::send },
     Rule { name: "stuck", when: Logic::stuck, then: Logic::call_off },
+    Rule { name: "links", when: Logic::spare_links, then: Logic::close_links },
     Rule { name: "wake", when: Logic::wake_due, then: Logic::set_wake },
 ];
 
@@ -106,6 +107,10 @@
     used: f64,
     /// Connections are short: the window stays as it is until then.
     short_until: f64,
+    /// An idle connection may be open; until when none is kept.
+    idle: bool,
+    thrift_until: f64,
+    no_link_at: f64,
     /// Back from an outage that this sender saw, or still in one: when it answered again, and when this sender's
     /// part of the cold budget has room for the next call.
     outage: bool,
@@ -286,6 +291,7 @@
                     answered: now,
                     used: now,
                     short_until: now,
+                    no_link_at: now - 9.0,
                     ..Route::default()
                 };
                 self.routes.insert(ep, route);
@@ -697,6 +703,7 @@
             return;
         }
         r.used = now;
+        r.idle |= !matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
         if let Some((left, limit)) = report
             && limit > 0.0
         {
@@ -723,6 +730,10 @@
             }
             Outcome::Delivered => {
                 r.answered = now;
+                if now < r.no_link_at + 4.0 {
+                    // A connect failed just before: too short for an outage, so connections are scarce there.
+                    r.thrift_until = now + 30.0;
+                }
                 // One or two unanswered calls before a good answer were lost; more would be an outage.
                 let lost = if r.bad_row < 3 { r.bad_row as usize } else { 0 };
                 self.lost.extend(std::iter::repeat_n(true, lost).chain([false]));
@@ -745,13 +756,20 @@
                 }
             }
             Outcome::Failed => r.answered = now,
-            Outcome::ConnectFailed if r.samples.iter().any(|s| s.good && s.at >= sent_at) => {
-                // No connection, yet others answer: it takes no more of them. The calls that are out show how many
-                // this sender has; 5 s, since idle ones elsewhere close after some seconds.
-                r.window = r.window.min(r.calls.len() as f64).max(1.0);
-                r.short_until = now + 5.0;
+            Outcome::ConnectFailed => {
+                r.no_link_at = now;
+                let others = r.samples.iter().any(|s| s.good && s.at >= sent_at);
+                if others || (now < r.thrift_until && r.bad_row < 3) {
+                    // No connection, yet others answer: it takes no more of them. The calls that are out show how
+                    // many this sender has; 5 s, since idle ones elsewhere close after some seconds.
+                    r.window = r.window.min(r.calls.len() as f64).max(1.0);
+                    r.short_until = now + 5.0;
+                    r.bad_row += 1;
+                    return;
+                }
+                r.window = (r.window / 2.0).max(1.0);
             }
-            Outcome::TimedOut | Outcome::ConnectFailed => r.window = (r.window / 2.0).max(1.0),
+            Outcome::TimedOut => r.window = (r.window / 2.0).max(1.0),
             Outcome::Reset => {}
         }
         r.samples.push_back(Sample { at: now, good, incident, took });
@@ -961,6 +979,23 @@
         self.current.insert(dest, ep);
     }
 
+    /// An endpoint was out of connections lately, and nothing waits to use the idle ones of this sender: they are
+    /// closed, since they keep other senders out. It costs a handshake for each call while it lasts.
+    fn spare_links(&self) -> Option<Pick> {
+        let spare = |r: &Route| r.idle && self.now < r.thrift_until;
+        let wanted = |dest: u64| self.held.get(&dest).is_some_and(|h| !h.is_empty());
+        let found = self.routes.iter().find(|(_, r)| spare(r) && !wanted(r.dest));
+        found.map(|(ep, _)| Pick::Route(ep.clone()))
+    }
+
+    fn close_links(&mut self, pick: Pick, out: &mut dyn Outbox) {
+        let Pick::Route(ep) = pick else { return };
+        out.close_idle(&ep);
+        if let Some(r) = self.routes.get_mut(&ep) {
+            r.idle = false;
+        }
+    }
+
     fn wake_due(&self) -> Option<Pick> {
         let waits = self.held.values().any(|h| !h.is_empty()) || (self.ask && !self.watching);
         (waits && self.wake_at.is_none()).then_some(Pick::Any)
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -28,6 +28,9 @@
     fn watch(&mut self, on: bool) {
         self.acts.push(format!("{:.1} watch {on}", self.now));
     }
+    fn close_idle(&mut self, ep: &str) {
+        self.acts.push(format!("{:.1} close {ep}", self.now));
+    }
     fn log(&mut self, text: &str) {
         self.acts.push(format!("{:.1} log {text}", self.now));
     }
