--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -161,12 +161,7 @@
 
 impl Instance {
     fn event(
-        &mut self,
-        now: f64,
-        kind: &str,
-        at: &Value,
-        lists: &BTreeMap<u64, Vec<Value>>,
-        out: &mut Actions,
+        &mut self, now: f64, kind: &str, at: &Value, lists: &BTreeMap<u64, Vec<Value>>, out: &mut Actions,
     ) -> Result<(), Fault> {
         let sender = &mut self.sender;
         match kind {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -150,15 +150,8 @@
     /// A webhook was handed in, with `left` seconds until it is given up.
     #[allow(clippy::too_many_arguments)]
     pub fn webhook(
-        &mut self,
-        now: f64,
-        id: u64,
-        event_type: &str,
-        dest: u64,
-        key: Option<&str>,
-        customer: Option<&str>,
-        left: f64,
-        out: &mut dyn Outbox,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        left: f64, out: &mut dyn Outbox,
     ) {
         self.0.webhook(now, id, event_type, dest, key, customer, left);
         self.0.settle(out);
@@ -168,15 +161,8 @@
     /// the destination's limit that is left and the limit in calls a second, where it told them.
     #[allow(clippy::too_many_arguments)]
     pub fn outcome(
-        &mut self,
-        now: f64,
-        id: u64,
-        ep: &str,
-        outcome: Outcome,
-        took: f64,
-        ended: bool,
-        report: Option<(f64, f64)>,
-        out: &mut dyn Outbox,
+        &mut self, now: f64, id: u64, ep: &str, outcome: Outcome, took: f64, ended: bool,
+        report: Option<(f64, f64)>, out: &mut dyn Outbox,
     ) {
         self.0.outcome(now, id, ep, outcome, took, ended, report);
         self.0.settle(out);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -303,13 +303,7 @@
 
     #[allow(clippy::too_many_arguments)]
     pub fn webhook(
-        &mut self,
-        now: f64,
-        id: u64,
-        evt: &str,
-        dest: u64,
-        key: Option<&str>,
-        customer: Option<&str>,
+        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
         left: f64,
     ) {
         self.now = now;
@@ -342,13 +336,7 @@
 
     #[allow(clippy::too_many_arguments)]
     pub fn outcome(
-        &mut self,
-        now: f64,
-        id: u64,
-        ep: &str,
-        outcome: Outcome,
-        took: f64,
-        ended: bool,
+        &mut self, now: f64, id: u64, ep: &str, outcome: Outcome, took: f64, ended: bool,
         report: Option<(f64, f64)>,
     ) {
         self.now = now;
