--- a/src/logic.rs
+++ b/src/logic.rs
@@ -927,7 +927,7 @@
 
     fn send(&mut self, pick: Pick, out: &mut dyn Outbox) {
         let Pick::Send(id, ep) = pick else { return };
-        let (now, senders, rate_error) = (self.now, self.senders, self.rate_error);
+        let (now, senders) = (self.now, self.senders);
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
         let cold_rate = self.cold_rate(r, self.meters.get(&scope));
@@ -935,10 +935,8 @@
         let Some(r) = self.routes.get_mut(&ep) else { return };
         let batch = r.batch;
         let joined = r.calls.last_mut().filter(|c| c.at == now && !c.trial && c.webhooks.len() < batch);
-        let m = self
-            .meters
-            .entry(scope)
-            .or_insert_with(|| Meter { share: 1.3 * rate_error / senders, ..Meter::default() });
+        let m =
+            self.meters.entry(scope).or_insert_with(|| Meter { share: 1.3 / senders, ..Meter::default() });
         if let Some(call) = joined {
             call.webhooks.insert(id);
             // A further webhook in a call is some more work for the destination, about a quarter of a call.
