--- a/src/logic.rs
+++ b/src/logic.rs
@@ -761,8 +761,8 @@
             Outcome::Reset => {}
         }
         r.samples.push_back(Sample { at: now, good, incident, took });
-        // 30 samples or 20 s, whichever is less: in 10 s small senders see too few to know the slow end.
-        while r.samples.len() > 30 || r.samples.front().is_some_and(|s| s.at < now - 20.0) {
+        // 30 samples or the design's 10 s, whichever is less.
+        while r.samples.len() > 30 || r.samples.front().is_some_and(|s| s.at < now - 10.0) {
             r.samples.pop_front();
         }
         if good {
