Idle connections are replaced where calls on them get lost

Covers anything that drops idle connections; may cost handshakes for 20 s by chance. The setters of plain settings moved out of the module: the interface assigns them.

--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -76,7 +76,7 @@
     sender.set_rate_error(if text_if(EVENT, facts, "weights")? == Some("rough") { 1.5 } else { 1.0 });
     let multiple = number_if(EVENT, rules, "fall-multiple", 1e9)?;
     let (from, warm) = (number_if(EVENT, rules, "cold-from", 1.0)?, seconds(rules, "cold-ms", 0.0)?);
-    sender.set_cold(from, warm, multiple, seconds(rules, "tip-after-ms", 1.0)?);
+    sender.set_cold(from, warm, multiple);
     sender.set_key_rest(seconds(rules, "key-rest-ms", 0.0)?);
     Ok(sender)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -112,33 +112,34 @@
 
     /// Calls out at once, webhooks held (sent or not), and delivery attempts for one webhook, at most.
     pub fn set_limits(&mut self, slots: usize, holds: usize, attempts: u32, may_call_off: bool) {
-        self.0.set_limits(slots, holds, attempts, may_call_off);
+        (self.0.slots, self.0.holds) = (slots, holds);
+        (self.0.attempts, self.0.may_call_off) = (attempts, may_call_off);
     }
 
     /// The longest time to come back that clients heed; 0 where none may be named.
     pub fn set_come_back(&mut self, longest: f64) {
-        self.0.set_come_back(longest);
+        self.0.come_back = longest;
     }
 
     /// Whether the list has to be asked for, and how long a sender may go without asking.
     pub fn set_list(&mut self, ask: bool, within: f64) {
-        self.0.set_list(ask, within);
+        (self.0.ask, self.0.within) = (ask, within);
     }
 
     /// How exact the list's rates are: the largest factor by which one may be too high.
     pub fn set_rate_error(&mut self, factor: f64) {
-        self.0.set_rate_error(factor);
+        self.0.rate_error = factor;
     }
 
     /// A destination back from an outage has `from` of its capacity, all of it after `warm` seconds, and falls over
-    /// when sent more than `multiple` times what it can do, for `span` seconds.
-    pub fn set_cold(&mut self, from: f64, warm: f64, multiple: f64, span: f64) {
-        self.0.set_cold(from, warm, multiple, span);
+    /// when sent more than `multiple` times what it can do for long.
+    pub fn set_cold(&mut self, from: f64, warm: f64, multiple: f64) {
+        self.0.cold = (from, warm, multiple);
     }
 
     /// How long a key rests after an attempt that may still run.
     pub fn set_key_rest(&mut self, rest: f64) {
-        self.0.set_key_rest(rest);
+        self.0.key_rest = rest;
     }
 
     /// News of the endpoint list.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -78,6 +78,7 @@
     trial: bool,
     judged: bool,
     called_off: bool,
+    idle: bool,
     webhooks: BTreeSet<u64>,
 }
 
@@ -107,8 +108,9 @@
     used: f64,
     /// Connections are short: the window stays as it is until then.
     short_until: f64,
-    /// An idle connection may be open; until when none is kept.
-    idle: bool,
+    /// Connections open at most, when one was last in use, and until when no idle one is kept.
+    links: usize,
+    link_used: f64,
     thrift_until: f64,
     no_link_at: f64,
     /// Back from an outage that this sender saw, or still in one: when it answered again, and when this sender's
@@ -140,11 +142,11 @@
     webhooks: BTreeMap<u64, Webhook>,
     key_lines: BTreeMap<Name, VecDeque<u64>>,
     key_rests: BTreeMap<Name, f64>,
-    key_rest: f64,
+    pub key_rest: f64,
     // list
     kinds: BTreeMap<Name, (usize, bool)>,
-    ask: bool,
-    within: f64,
+    pub ask: bool,
+    pub within: f64,
     watching: bool,
     ask_at: f64,
     refusals: u32,
@@ -152,21 +154,23 @@
     dests: BTreeMap<u64, Vec<Name>>,
     // pace and return
     meters: BTreeMap<Scope, Meter>,
-    rate_error: f64,
-    cold: (f64, f64, f64, f64),
+    pub rate_error: f64,
+    pub cold: (f64, f64, f64),
     // queue
     held: BTreeMap<u64, Vec<u64>>,
-    slots: usize,
+    pub slots: usize,
     busy: usize,
-    holds: usize,
-    come_back: f64,
+    pub holds: usize,
+    pub come_back: f64,
     customers: BTreeMap<Name, (f64, f64, VecDeque<f64>)>,
     // attempts
-    attempts: u32,
-    may_call_off: bool,
+    pub attempts: u32,
+    pub may_call_off: bool,
     retries: VecDeque<bool>,
     /// The last calls of all routes: lost between good answers, or answered.
     lost: VecDeque<bool>,
+    /// The same by whether the connection had stood idle: when, idle, lost.
+    stale: VecDeque<(f64, bool, bool)>,
     current: BTreeMap<u64, Name>,
     wake_at: Option<f64>,
     next_age: f64,
@@ -183,7 +187,7 @@
             within: f64::INFINITY,
             ask_at: now,
             rate_error: 1.0,
-            cold: (1.0, 0.0, f64::INFINITY, 1.0),
+            cold: (1.0, 0.0, f64::INFINITY),
             slots: 1,
             holds: 1,
             attempts: 1,
@@ -213,30 +217,6 @@
         self.customers.insert(name.into(), (quota, over, VecDeque::new()));
     }
 
-    pub fn set_limits(&mut self, slots: usize, holds: usize, attempts: u32, may_call_off: bool) {
-        (self.slots, self.holds, self.attempts, self.may_call_off) = (slots, holds, attempts, may_call_off);
-    }
-
-    pub fn set_come_back(&mut self, longest: f64) {
-        self.come_back = longest;
-    }
-
-    pub fn set_list(&mut self, ask: bool, within: f64) {
-        (self.ask, self.within) = (ask, within);
-    }
-
-    pub fn set_rate_error(&mut self, factor: f64) {
-        self.rate_error = factor.max(1.0);
-    }
-
-    pub fn set_cold(&mut self, from: f64, warm: f64, multiple: f64, span: f64) {
-        self.cold = (from, warm, multiple, span.max(0.001));
-    }
-
-    pub fn set_key_rest(&mut self, rest: f64) {
-        self.key_rest = rest;
-    }
-
     /// Marsaglia's multiply-with-carry, 32 bits; the multiplier is one that he lists.
     fn chance(&mut self) -> f64 {
         self.chance = 4_294_957_665 * (self.chance & 0xffff_ffff) + (self.chance >> 32);
@@ -536,7 +516,7 @@
 
     /// Calls a second that are this sender's part of what a route back from an outage can take.
     fn cold_rate(&self, r: &Route, m: Option<&Meter>) -> f64 {
-        let (from, warm, multiple, _) = self.cold;
+        let (from, warm, multiple) = self.cold;
         let since = r.back.map_or(0.0, |b| self.now - b);
         let part = (from + (1.0 - from) * since / warm).min(1.0);
         let told = m.is_some_and(|m| !m.limits.is_empty());
@@ -671,7 +651,7 @@
         let Some(r) = self.routes.get_mut(&ep) else { return };
         let Some(at) = r.calls.iter().position(|c| c.webhooks.contains(&id)) else { return };
         let call = &mut r.calls[at];
-        let (sent_at, trial) = (call.at, call.trial);
+        let (sent_at, trial, idle) = (call.at, call.trial, call.idle);
         // A call with several webhooks has one fate, but its outcomes come one by one: the first is judged at once
         // (a wait that it tells must not be missed), the last frees the slot.
         let first = !std::mem::replace(&mut call.judged, true);
@@ -691,7 +671,16 @@
             return;
         }
         r.used = now;
-        r.idle |= !matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
+        r.link_used = now;
+        if !trial && r.bad_row == 0 {
+            // Only the first loss of a row counts: a hung endpoint is tried again and again after a pause.
+            let lost = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Reset);
+            self.stale.push_back((now, idle, lost));
+        }
+        // The last 100 calls in 20 s: enough to see one in ten among the idle ones, short enough to try again.
+        while self.stale.len() > 100 || self.stale.front().is_some_and(|s| s.0 < now - 20.0) {
+            self.stale.pop_front();
+        }
         if let Some((left, limit)) = report
             && limit > 0.0
         {
@@ -931,6 +920,13 @@
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
         let cold_rate = self.cold_rate(r, self.meters.get(&scope));
+        // Half a second: a connection in steady use is never idle for so long.
+        let mut idle = r.links > r.calls.len() && now - r.link_used > 0.5;
+        if idle && self.links_go_stale() {
+            // A handshake costs less than a lost call. It hurts only where the losses had another cause.
+            idle = false;
+            self.close_links(Pick::Route(ep.clone()), out);
+        }
         out.attempt(id, &ep, stop_at);
         let Some(r) = self.routes.get_mut(&ep) else { return };
         let batch = r.batch;
@@ -947,8 +943,10 @@
                 trial,
                 judged: false,
                 called_off: false,
+                idle,
                 webhooks: BTreeSet::from([id]),
             });
+            r.links = r.links.max(r.calls.len());
             self.busy += 1;
             r.cold_due = r.cold_due.max(now) + if r.outage { 1.0 / cold_rate } else { 0.0 };
             m.sent.push_back(now);
@@ -970,7 +968,7 @@
     /// An endpoint was out of connections lately, and nothing waits to use the idle ones of this sender: they are
     /// closed, since they keep other senders out. It costs a handshake for each call while it lasts.
     fn spare_links(&self) -> Option<Pick> {
-        let spare = |r: &Route| r.idle && self.now < r.thrift_until;
+        let spare = |r: &Route| r.links > r.calls.len() && self.now < r.thrift_until;
         let wanted = |dest: u64| self.held.get(&dest).is_some_and(|h| !h.is_empty());
         let found = self.routes.iter().find(|(_, r)| spare(r) && !wanted(r.dest));
         found.map(|(ep, _)| Pick::Route(ep.clone()))
@@ -980,10 +978,19 @@
         let Pick::Route(ep) = pick else { return };
         out.close_idle(&ep);
         if let Some(r) = self.routes.get_mut(&ep) {
-            r.idle = false;
+            r.links = r.calls.len();
         }
     }
 
+    /// Calls on connections that stood idle get lost and others do not: something on the way forgets them.
+    fn links_go_stale(&self) -> bool {
+        let count = |idle, lost| self.stale.iter().filter(|s| s.1 == idle && s.2 == lost).count() as f64;
+        let (idle_lost, idle_good) = (count(true, true), count(true, false));
+        let fresh = (count(false, true) + 1.0) / (count(false, false) + 10.0);
+        // Three at least, a tenth of them, and twice the share of the others: chance seldom does that.
+        idle_lost >= 3.0 && idle_lost / (idle_lost + idle_good) > (2.0 * fresh).max(0.1)
+    }
+
     fn wake_due(&self) -> Option<Pick> {
         let waits = self.held.values().any(|h| !h.is_empty()) || (self.ask && !self.watching);
         (waits && self.wake_at.is_none()).then_some(Pick::Any)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -249,6 +249,20 @@
             "0 list a:z:plain:40\n0 hand 1 idem\n0.1 end 1 a ok\n1 hand 2 idem\n3 end 2 a lost\n3.2 end 2 a ok\n4 hand 3 idem\n4 hand 4 idem\n4.2 pass",
             &[Sends(3.9, 4.2, 1..=2)],
         ),
+        (
+            // A quarter of the calls on connections idle for half a second was lost, hardly any of the others.
+            "connections that lose calls after standing idle are replaced first",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 idem\n0.1 end 1 a ok\n1 hand 2 idem\n2 end 2 a lost\n2.2 end 2 a ok\n3 hand 3 idem\n4 end 3 a lost\n4.2 end 3 a ok\n5 hand 4 idem\n6 end 4 a lost\n6.2 end 4 a ok\n7 hand 5 idem",
+            &[Has(&["7.0 close a", "7.0 send 5 a"]), Not("5.0 close")],
+        ),
+        (
+            // Connects fail while a small sender has nothing else out: two in a row opened the circuit.
+            "a failed connect just before an answer means scarce connections: idle ones are closed",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 idem\n1 end 1 a noconn\n1.2 pass\n1.4 end 1 a ok\n2 hand 2 idem\n3 end 2 a noconn\n3.2 pass\n3.3 pass",
+            &[Has(&["1.4 close a"]), Sends(3.0, 3.3, 1..=1)],
+        ),
         (
             "shut longer than any span of a limit: cold when it opens, so no rush",
             ONE,
