--- a/src/logic.rs
+++ b/src/logic.rs
@@ -127,7 +127,7 @@
     share: f64,
     full_row: u32,
     full_since: f64,
-    limits: VecDeque<f64>,
+    limits: VecDeque<(f64, f64)>,
     left: Option<(f64, f64)>,
 }
 
@@ -507,9 +507,11 @@
         (r.dest, r.apart.then(|| ep.clone()))
     }
 
-    /// Calls a second that a scope takes from all senders: as reported, else as listed.
+    /// Calls a second that a scope takes from all senders: as reported in the last 5 s, else as listed. An old
+    /// report of a limit that was cut would keep this sender from ever hearing that it is back.
     fn rate(&self, r: &Route, m: Option<&Meter>) -> f64 {
-        let mut told: Vec<f64> = m.map_or(Vec::new(), |m| m.limits.iter().copied().collect());
+        let mut told: Vec<f64> =
+            m.map_or(Vec::new(), |m| m.limits.iter().filter(|l| l.0 > self.now - 5.0).map(|l| l.1).collect());
         told.sort_by(f64::total_cmp);
         told.get(told.len() / 2).copied().unwrap_or(r.rate)
     }
@@ -519,8 +521,9 @@
         let (from, warm, multiple) = self.cold;
         let since = r.back.map_or(0.0, |b| self.now - b);
         let part = (from + (1.0 - from) * since / warm).min(1.0);
+        // A limit that was cut does not make the destination weaker: what is listed counts, with its error.
         let told = m.is_some_and(|m| !m.limits.is_empty());
-        let sure = self.rate(r, m) / if told { 1.0 } else { self.rate_error };
+        let sure = if told { self.rate(r, m) } else { 0.0 }.max(r.rate / self.rate_error);
         // Endpoints of one destination share its capacity.
         let eps = if r.apart { 1 } else { self.dests.get(&r.dest).map_or(1, |d| d.len().max(1)) };
         // One call in 100 s at least: a rate that is not listed must not shut a route for good.
@@ -545,7 +548,7 @@
         (rate > 0.0 && recent as f64 >= most) || (r.outage && self.now < r.cold_due)
     }
 
-    fn cooling_off(&mut self, scope: &Scope, wait: f64) {
+    fn cooling_off(&mut self, scope: &Scope, wait: f64, used_up: bool) {
         let jitter = self.chance();
         let (now, senders) = (self.now, self.senders);
         let m = self.meters.entry(scope.clone()).or_default();
@@ -560,8 +563,9 @@
         }
         // A fifth less of the limit, never less than half an even part of it.
         m.share = (m.share * 0.8).max(0.5 / senders);
-        // Refused longer than any span of a limit lasts: it is shut, which is an outage.
-        if wait > 2.0 || (m.full_row > 1 && now - m.full_since > 2.0) {
+        // Refused longer than any span of a limit lasts, and not because it tells that none of its allowance is
+        // left: it is shut, which is an outage.
+        if wait > 2.0 || (!used_up && m.full_row > 1 && now - m.full_since > 2.0) {
             self.mark_outage(scope, now);
         }
     }
@@ -685,7 +689,7 @@
             && limit > 0.0
         {
             m.left = Some((left, now));
-            m.limits.push_back(limit);
+            m.limits.push_back((now, limit));
             // The median of the last five reports: they are noisy.
             if m.limits.len() > 5 {
                 m.limits.pop_front();
@@ -702,7 +706,11 @@
                     r.cooling = (r.cooling * 2.0).min(2.0);
                     r.trial_at = now + r.cooling;
                 }
-                self.cooling_off(&scope, wait);
+                self.cooling_off(
+                    &scope,
+                    wait,
+                    report.is_some_and(|(left, limit)| limit > 0.0 && left < 0.05),
+                );
                 return;
             }
             Outcome::Delivered => {
