--- a/src/logic.rs
+++ b/src/logic.rs
@@ -507,11 +507,11 @@
         (r.dest, r.apart.then(|| ep.clone()))
     }
 
-    /// Calls a second that a scope takes from all senders: as reported in the last 10 s, else as listed. An old
+    /// Calls a second that a scope takes from all senders: as reported in the last 5 s, else as listed. An old
     /// report of a limit that was cut would keep this sender from ever hearing that it is back.
     fn rate(&self, r: &Route, m: Option<&Meter>) -> f64 {
-        let mut told: Vec<f64> = m
-            .map_or(Vec::new(), |m| m.limits.iter().filter(|l| l.0 > self.now - 10.0).map(|l| l.1).collect());
+        let mut told: Vec<f64> =
+            m.map_or(Vec::new(), |m| m.limits.iter().filter(|l| l.0 > self.now - 5.0).map(|l| l.1).collect());
         told.sort_by(f64::total_cmp);
         told.get(told.len() / 2).copied().unwrap_or(r.rate)
     }
@@ -541,7 +541,7 @@
             return true;
         }
         let rate = self.rate(r, Some(m));
-        let mine = (rate * m.share).max(0.3 / self.senders);
+        let mine = (rate * m.share).max(1.0 / self.senders);
         // Whole calls in about a second, the shortest span that limits here come in.
         let most = mine.ceil();
         let recent = m.sent.iter().rev().take_while(|at| **at + most / mine > self.now).count();
