--- a/src/logic.rs
+++ b/src/logic.rs
@@ -73,6 +73,7 @@
     ended: bool,
 }
 
+#[derive(Default)]
 struct Call {
     at: f64,
     trial: bool,
@@ -426,13 +427,8 @@
     fn spent(&self) -> Option<Pick> {
         let done = |id: &&u64| {
             let Some(w) = self.webhooks.get(id) else { return false };
-            let Some(t) = self.types.get(&w.evt) else { return true };
-            let barred = match (t.effect, &w.ran) {
-                (_, None) | (Effect::Idempotent, _) => false,
-                (Effect::AtMostOnce, _) => true,
-                (Effect::Tokened, Some((_, at))) => self.now >= at + t.known_for - 0.05,
-            };
-            barred || w.tries >= self.attempts
+            let barred = w.ran.as_ref().is_some_and(|(zone, _)| !self.may_repeat(w, zone));
+            barred || w.tries >= self.attempts || !self.types.contains_key(&w.evt)
         };
         self.held.values().flatten().find(done).map(|id| Pick::Webhook(*id))
     }
@@ -486,6 +482,7 @@
     fn forget(&mut self, pick: Pick, _: &mut dyn Outbox) {
         let Pick::Route(ep) = pick else {
             self.next_age = self.now + 5.0;
+            self.key_rests.retain(|_, t| *t + 1.0 > self.now);
             return;
         };
         let first = self.first_window();
@@ -548,7 +545,7 @@
         (rate > 0.0 && recent as f64 >= most) || (r.outage && self.now < r.cold_due)
     }
 
-    fn cooling_off(&mut self, scope: &Scope, wait: f64, used_up: bool) {
+    fn cooling_off(&mut self, scope: &Scope, wait: f64) {
         let jitter = self.chance();
         let (now, senders) = (self.now, self.senders);
         let m = self.meters.entry(scope.clone()).or_default();
@@ -563,6 +560,7 @@
         }
         // A fifth less of the limit, never less than half an even part of it.
         m.share = (m.share * 0.8).max(0.5 / senders);
+        let used_up = m.left.is_some_and(|(left, at)| at == now && left < 0.05);
         // Refused longer than any span of a limit lasts, and not because it tells that none of its allowance is
         // left: it is shut, which is an outage.
         if wait > 2.0 || (!used_up && m.full_row > 1 && now - m.full_since > 2.0) {
@@ -698,7 +696,7 @@
         let good = outcome == Outcome::Delivered;
         let incident = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
         match outcome {
-            Outcome::Moot(_) | Outcome::Cancelled => return,
+            Outcome::Moot(_) => return,
             Outcome::Full(wait) => {
                 r.answered = now;
                 r.window = (r.window / 2.0).max(1.0);
@@ -706,11 +704,7 @@
                     r.cooling = (r.cooling * 2.0).min(2.0);
                     r.trial_at = now + r.cooling;
                 }
-                self.cooling_off(
-                    &scope,
-                    wait,
-                    report.is_some_and(|(left, limit)| limit > 0.0 && left < 0.05),
-                );
+                self.cooling_off(&scope, wait);
                 return;
             }
             Outcome::Delivered => {
@@ -754,7 +748,8 @@
                 }
                 r.window = (r.window / 2.0).max(1.0);
             }
-            Outcome::TimedOut => r.window = (r.window / 2.0).max(1.0),
+            // A call is called off only when it is taken for lost.
+            Outcome::TimedOut | Outcome::Cancelled => r.window = (r.window / 2.0).max(1.0),
             Outcome::Reset => {}
         }
         r.samples.push_back(Sample { at: now, good, incident, took });
@@ -866,8 +861,7 @@
     /// then the late ones, the most valuable first.
     fn rank(&self, w: &Webhook, usual: f64) -> (u8, f64, f64) {
         let at = self.now + usual;
-        let value = self.value(w, at);
-        if at <= w.target_at { (0, -value, w.target_at) } else { (1, -value, w.target_at) }
+        (u8::from(at > w.target_at), -self.value(w, at), w.target_at)
     }
 
     fn sendable(&self) -> Option<Pick> {
@@ -946,22 +940,14 @@
             // A further webhook in a call is some more work for the destination, about a quarter of a call.
             r.cold_due += if r.outage { 0.25 / cold_rate } else { 0.0 };
         } else {
-            r.calls.push(Call {
-                at: now,
-                trial,
-                judged: false,
-                called_off: false,
-                idle,
-                webhooks: BTreeSet::from([id]),
-            });
+            let webhooks = BTreeSet::from([id]);
+            r.calls.push(Call { at: now, trial, idle, webhooks, ..Call::default() });
             r.links = r.links.max(r.calls.len());
             self.busy += 1;
             r.cold_due = r.cold_due.max(now) + if r.outage { 1.0 / cold_rate } else { 0.0 };
             m.sent.push_back(now);
-            // 400 calls or half a minute: longer than any span that they are counted over.
-            while m.sent.len() > 400 || m.sent.front().is_some_and(|at| *at < now - 30.0) {
-                m.sent.pop_front();
-            }
+            // 400 calls: more than any destination here takes in a second.
+            m.sent.drain(..m.sent.len().saturating_sub(400));
         }
         r.used = now;
         if let Some(w) = self.webhooks.get_mut(&id) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -249,6 +249,20 @@
             "0 list a:z:plain:40\n0 hand 1 idem\n0.1 end 1 a ok\n1 hand 2 idem\n3 end 2 a lost\n3.2 end 2 a ok\n4 hand 3 idem\n4 hand 4 idem\n4.2 pass",
             &[Sends(3.9, 4.2, 1..=2)],
         ),
+        (
+            // Calls that were called off once did not count, and the next went to the same hung endpoint.
+            "a call that was called off counts as lost for its route",
+            (1, 50, 1, false),
+            "0 list a:z:plain:50\n0 hand 1 once\n0.1 hand 2 once\n2.2 end 1 a off\n2.3 hand 3 once\n6.5 end 2 a off\n6.8 pass",
+            &[Has(&["2.2 dead 1", "2.2 send 2 a", "6.5 dead 2"]), Sends(6.4, 6.8, 0..=0)],
+        ),
+        (
+            // The last report of a limit that was cut once kept a route shut for 40 s.
+            "a report that is seconds old is believed no more",
+            ONE,
+            "0 list a:z:plain:40\n0 hand 1 idem\n0.1 end 1 a ok 0 0.5:0.2\n2 hand 2 idem\n2 hand 3 idem\n2.1 end 2 a ok\n8 pass\n8 hand 4 idem\n8 hand 5 idem\n8 hand 6 idem",
+            &[Sends(2.0, 2.5, 1..=1), Sends(8.0, 8.0, 3..=3)],
+        ),
         (
             // A quarter of the calls on connections idle for half a second was lost, hardly any of the others.
             "connections that lose calls after standing idle are replaced first",
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -61,7 +61,7 @@
 }
 
 /// Steps, one a line: `TIME list EP:ZONE:KIND:RATE[:gone] ..`, `TIME changes ..`, `TIME refused`,
-/// `TIME hand ID EVT [KEY]`, `TIME end ID EP OUTCOME [WAIT]`, `TIME gone ID`, `TIME pass`. All for destination 1.
+/// `TIME hand ID EVT [KEY]`, `TIME end ID EP OUTCOME [WAIT [LEFT:LIMIT]]`, `TIME gone ID`, `TIME pass`. All for destination 1.
 /// Wake-ups come when they are due. Returns the actions, each with its time.
 pub fn play(slots: usize, holds: usize, senders: u64, ask: bool, script: &str) -> Vec<String> {
     let (mut s, mut desk) = (sender(slots, holds, senders, ask), Desk::default());
@@ -105,8 +105,10 @@
                     "off" => Outcome::Cancelled,
                     _ => Outcome::Failed,
                 };
+                let report = words.get(6).and_then(|w| w.split_once(':'));
+                let report = report.map(|(left, limit)| (left.parse().unwrap(), limit.parse().unwrap()));
                 let took = t - sent.get(&id).copied().unwrap_or(t);
-                s.outcome(t, id, words[3], outcome, took, words[4] == "ok", None, &mut desk);
+                s.outcome(t, id, words[3], outcome, took, words[4] == "ok", report, &mut desk);
             }
             "gone" => s.withdrawn(t, id, &mut desk),
             _ => {}
