--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -260,7 +260,7 @@
             // The last report of a limit that was cut once kept a route shut for 40 s.
             "a report that is seconds old is believed no more",
             ONE,
-            "0 list a:z:plain:40\n0 hand 1 idem\n0.1 end 1 a ok 0 0.5:0.2\n2 hand 2 idem\n2 hand 3 idem\n2.1 end 2 a ok\n8 pass\n8 hand 4 idem\n8 hand 5 idem\n8 hand 6 idem",
+            "0 list a:z:plain:40\n0 hand 1 idem\n0.1 end 1 a ok 0 0.5:0.2\n2 hand 2 idem\n2 hand 3 idem\n2.1 end 2 a ok\n3.1 pass\n3.2 end 3 a ok\n8 pass\n8 hand 4 idem\n8 hand 5 idem\n8 hand 6 idem",
             &[Sends(2.0, 2.5, 1..=1), Sends(8.0, 8.0, 3..=3)],
         ),
         (
