--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -239,15 +239,15 @@
             // Two failed connects once throttled a destination that answered others for the rest of the day.
             "a lack of connections is no outage",
             ONE,
-            "0 list a:z:plain:50\n0 hand 1 idem\n0 hand 2 idem\n0.2 end 2 a ok\n1 end 1 a noconn\n1.2 hand 3 idem\n1.3 pass\n1.4 end 1 a ok\n1.5 pass",
-            &[Sends(1.05, 1.5, 2..=2)],
+            "0 list a:z:plain:50\n0 hand 1 idem\n1 end 1 a noconn\n1.2 pass\n1.4 end 1 a ok\n2 hand 2 idem\n3 end 2 a noconn\n3.3 pass\n4.2 end 2 a noconn\n4.3 hand 3 idem\n4.45 pass",
+            &[Sends(4.25, 4.45, 1..=1)],
         ),
         (
             // One lost call now and then once counted as an outage, whose cold budget throttled small senders.
-            "calls lost between good answers are no outage",
+            "two lost calls between good answers are no outage",
             (64, 50, 4, false),
-            "0 list a:z:plain:40\n0 hand 1 idem\n0.1 end 1 a ok\n1 hand 2 idem\n3 end 2 a lost\n3.2 end 2 a ok\n4 hand 3 idem\n4 hand 4 idem\n4.2 pass",
-            &[Sends(3.9, 4.2, 1..=2)],
+            "0 list a:z:plain:40\n0 hand 1 idem\n0.1 end 1 a ok\n1 hand 2 idem\n2 end 2 a lost\n2.3 pass\n4 end 2 a lost\n4.8 pass\n4.9 end 2 a ok\n7 hand 3 idem\n7 hand 4 idem\n7 hand 5 idem\n7 hand 6 idem",
+            &[Sends(7.0, 7.0, 3..=3)],
         ),
         (
             // Calls that were called off once did not count, and the next went to the same hung endpoint.
