--- a/src/logic.rs
+++ b/src/logic.rs
@@ -783,9 +783,8 @@
         if n >= 5.0 {
             done = r.samples.iter().filter(|s| s.good).count() as f64 / n;
             let mean = r.samples.iter().map(|s| s.took).sum::<f64>() / n;
-            // From an answer at once to one that takes the shortest target latency.
-            let most = self.types.values().map(|t| t.target).fold(f64::INFINITY, f64::min).max(0.001);
-            fast = 1.0 - mean.clamp(0.0, most) / most;
+            // From a quick answer to one past any target latency.
+            fast = 1.0 - (mean.clamp(0.1, 3.0) - 0.1) / 2.9;
             calm = 1.0 - r.samples.iter().filter(|s| s.incident).count() as f64 / n;
         }
         0.5 * done + 0.3 * fast + 0.2 * calm
