--- a/src/logic.rs
+++ b/src/logic.rs
@@ -721,9 +721,7 @@
                 r.bad_row = 0;
                 (m.full_row, m.share) = (0, (m.share + 0.02 / senders).min(1.0));
                 if now >= r.short_until {
-                    // A third of the slots; a sixth where a call takes several webhooks, so that traffic spreads.
-                    let cap = slots / if r.batch > 1 { 6.0 } else { 3.0 };
-                    r.window = (r.window + 1.0).min(cap.max(1.0));
+                    r.window = (r.window + 1.0).min((slots * 0.33).max(1.0));
                 }
                 if r.open {
                     r.open = false;
