--- a/src/logic.rs
+++ b/src/logic.rs
@@ -936,7 +936,7 @@
         let m = self
             .meters
             .entry(scope)
-            .or_insert_with(|| Meter { share: if apart { 0.8 } else { 1.3 } / senders, ..Meter::default() });
+            .or_insert_with(|| Meter { share: if apart { 1.0 } else { 1.3 } / senders, ..Meter::default() });
         if let Some(call) = joined {
             call.webhooks.insert(id);
             // A further webhook in a call is some more work for the destination, about a quarter of a call.
