--- a/src/logic.rs
+++ b/src/logic.rs
@@ -931,10 +931,12 @@
         }
         out.attempt(id, &ep, stop_at);
         let Some(r) = self.routes.get_mut(&ep) else { return };
-        let batch = r.batch;
+        let (batch, apart) = (r.batch, r.apart);
         let joined = r.calls.last_mut().filter(|c| c.at == now && !c.trial && c.webhooks.len() < batch);
-        let m =
-            self.meters.entry(scope).or_insert_with(|| Meter { share: 1.0 / senders, ..Meter::default() });
+        let m = self
+            .meters
+            .entry(scope)
+            .or_insert_with(|| Meter { share: if apart { 1.0 } else { 1.3 } / senders, ..Meter::default() });
         if let Some(call) = joined {
             call.webhooks.insert(id);
             // A further webhook in a call is some more work for the destination, about a quarter of a call.
