--- a/src/logic.rs
+++ b/src/logic.rs
@@ -553,8 +553,8 @@
             m.full_since = now;
         }
         m.full_row += 1;
-        // Without a told wait: 0.2 s, then twice as long each time up to 0.8 s, since spans last a second or two.
-        let own = 0.2 * f64::from(1 << (m.full_row - 1).min(2)) * (0.75 + 0.5 * jitter);
+        // Without a told wait: 0.2 s, then twice as long each time up to 1.6 s, since spans last a second or two.
+        let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
         if wait <= 0.0 {
             m.wait_until = m.wait_until.max(now + own);
         }
