--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,7 @@
 //! 2. list: watch upkeep, drains
 //! 3. pace: waits; a share of each limit; batches
 //! 4. return: a sender's share of the cold budget after an outage seen, ramp to warm
-//! 5. queue: who gets scarce slots and room
+//! 5. queue: who gets scarce slots and room; connections that are scarce or go stale
 //! 6. attempt time-outs and further attempts
 
 use crate::{Effect, Entry, ListMode, Outbox, Outcome};
