--- a/src/logic.rs
+++ b/src/logic.rs
@@ -558,8 +558,8 @@
         if wait <= 0.0 {
             m.wait_until = m.wait_until.max(now + own);
         }
-        // A seventh less of the limit, never less than six tenths of an even part of it.
-        m.share = (m.share * 0.85).max(0.6 / senders);
+        // A fifth less of the limit, never less than half an even part of it.
+        m.share = (m.share * 0.8).max(0.5 / senders);
         let used_up = m.left.is_some_and(|(left, at)| at == now && left < 0.05);
         // Refused longer than any span of a limit lasts, and not because it tells that none of its allowance is
         // left: it is shut, which is an outage.
