--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,6 +30,7 @@
     Webhook(u64),
     Send(u64, Name),
     Route(Name),
+    At(f64),
     Any,
 }
 
@@ -152,6 +153,9 @@
     ask_at: f64,
     refusals: u32,
     routes: BTreeMap<Name, Route>,
+    /// Routes with calls out, and those with connections open.
+    active: BTreeSet<Name>,
+    linked: BTreeSet<Name>,
     dests: BTreeMap<u64, Vec<Name>>,
     // pace and return
     meters: BTreeMap<Scope, Meter>,
@@ -378,9 +382,7 @@
 
     fn close(&mut self, id: u64) {
         let Some(w) = self.webhooks.remove(&id) else { return };
-        if let Some(h) = self.held.get_mut(&w.dest) {
-            h.retain(|x| *x != id);
-        }
+        self.unhold(w.dest, id);
         if let Some(k) = &w.key
             && let Some(line) = self.key_lines.get_mut(k)
         {
@@ -391,6 +393,16 @@
         }
     }
 
+    /// Destinations with nothing held have no entry: rules look through all entries after every input.
+    fn unhold(&mut self, dest: u64, id: u64) {
+        if let Some(h) = self.held.get_mut(&dest) {
+            h.retain(|x| *x != id);
+            if h.is_empty() {
+                self.held.remove(&dest);
+            }
+        }
+    }
+
     /// Handing in again does no harm: nothing may have run, or whoever gets a repeat knows it.
     fn may_reject(&self, w: &Webhook) -> bool {
         let Some(t) = self.types.get(&w.evt) else { return w.ran.is_none() };
@@ -529,20 +541,24 @@
 
     /// Whether the scope must wait before it takes a call, or a further webhook in a call of this turn.
     fn paced(&self, ep: &Name, r: &Route, joins: bool) -> bool {
-        let Some(m) = self.meters.get(&Self::scope(ep, r)) else { return false };
-        if m.wait_until > self.now || joins {
-            return m.wait_until > self.now;
+        self.pace_end(ep, r, joins) > self.now
+    }
+
+    fn pace_end(&self, ep: &Name, r: &Route, joins: bool) -> f64 {
+        let Some(m) = self.meters.get(&Self::scope(ep, r)) else { return 0.0 };
+        if joins {
+            return m.wait_until;
         }
         // Reports come every few tenths of a second; an empty allowance is believed for that long.
-        if m.left.is_some_and(|(left, at)| self.now < at + 0.3 && left < 0.05) {
-            return true;
-        }
+        let empty = m.left.map_or(0.0, |(left, at)| if left < 0.05 { at + 0.3 } else { 0.0 });
+        let cold = if r.outage { r.cold_due } else { 0.0 };
         let rate = self.rate(r, Some(m));
         let mine = (rate * m.share).max(1.0 / self.senders);
         // Whole calls in about a second, the shortest span that limits here come in.
         let most = mine.ceil();
-        let recent = m.sent.iter().rev().take_while(|at| **at + most / mine > self.now).count();
-        (rate > 0.0 && recent as f64 >= most) || (r.outage && self.now < r.cold_due)
+        let oldest = m.sent.len().checked_sub(most as usize).and_then(|i| m.sent.get(i));
+        let spent = oldest.filter(|_| rate > 0.0).map_or(0.0, |at| at + most / mine);
+        m.wait_until.max(empty).max(cold).max(spent)
     }
 
     fn cooling_off(&mut self, scope: &Scope, wait: f64) {
@@ -624,10 +640,11 @@
     /// All slots are taken and a webhook waits: the call that is longest past patience is called off, whatever
     /// made it hang. It hurts where a slow answer would still have come.
     fn stuck(&self) -> Option<Pick> {
-        if !self.may_call_off || self.busy < self.slots || self.held.values().all(Vec::is_empty) {
+        if !self.may_call_off || self.busy < self.slots || self.held.is_empty() {
             return None;
         }
-        let calls = self.routes.values().flat_map(|r| r.calls.iter().map(move |c| (r, c)));
+        let live = self.active.iter().filter_map(|ep| self.routes.get(ep));
+        let calls = live.flat_map(|r| r.calls.iter().map(move |c| (r, c)));
         let over = |r: &Route, c: &Call| self.now - c.at - self.patience(r);
         let past = calls.filter(|(r, c)| !c.called_off && over(r, c) > 0.0);
         let worst = past.max_by(|a, b| over(a.0, a.1).total_cmp(&over(b.0, b.1)))?;
@@ -661,6 +678,9 @@
         if call.webhooks.is_empty() {
             r.calls.remove(at);
             self.busy -= 1;
+            if r.calls.is_empty() {
+                self.active.remove(&ep);
+            }
         }
         let m = self.meters.entry(scope.clone()).or_default();
         if let Outcome::Full(wait) = outcome
@@ -866,7 +886,7 @@
 
     fn sendable(&self) -> Option<Pick> {
         let mut best: Option<((u8, f64, f64), u64, Name)> = None;
-        for (dest, ids) in self.held.iter().filter(|(_, ids)| !ids.is_empty()) {
+        for (dest, ids) in &self.held {
             let routes = self.routes_now(*dest);
             let Some(first) = routes.first() else { continue };
             let usual = self.slow_end(&self.routes[*first]);
@@ -893,7 +913,7 @@
         if self.busy >= self.slots {
             return None;
         }
-        for (dest, ids) in self.held.iter().filter(|(_, ids)| !ids.is_empty()) {
+        for (dest, ids) in &self.held {
             for ep in self.dests.get(dest).into_iter().flatten() {
                 let Some(r) = self.routes.get(ep) else { continue };
                 let due = r.ready && r.open && r.calls.is_empty() && self.now >= r.trial_at;
@@ -955,9 +975,9 @@
         if let Some(w) = self.webhooks.get_mut(&id) {
             (w.out, w.tries) = (Some(ep.clone()), w.tries + 1);
         }
-        if let Some(h) = self.held.get_mut(&dest) {
-            h.retain(|x| *x != id);
-        }
+        self.unhold(dest, id);
+        self.active.insert(ep.clone());
+        self.linked.insert(ep.clone());
         self.current.insert(dest, ep);
     }
 
@@ -965,9 +985,9 @@
     /// closed, since they keep other senders out. It costs a handshake for each call while it lasts.
     fn spare_links(&self) -> Option<Pick> {
         let spare = |r: &Route| r.links > r.calls.len() && self.now < r.thrift_until;
-        let wanted = |dest: u64| self.held.get(&dest).is_some_and(|h| !h.is_empty());
-        let found = self.routes.iter().find(|(_, r)| spare(r) && !wanted(r.dest));
-        found.map(|(ep, _)| Pick::Route(ep.clone()))
+        let route =
+            |ep: &&Name| self.routes.get(*ep).is_some_and(|r| spare(r) && !self.held.contains_key(&r.dest));
+        self.linked.iter().find(route).map(|ep| Pick::Route(ep.clone()))
     }
 
     fn close_links(&mut self, pick: Pick, out: &mut dyn Outbox) {
@@ -975,6 +995,9 @@
         out.close_idle(&ep);
         if let Some(r) = self.routes.get_mut(&ep) {
             r.links = r.calls.len();
+            if r.links == 0 {
+                self.linked.remove(&ep);
+            }
         }
     }
 
@@ -988,13 +1011,57 @@
     }
 
     fn wake_due(&self) -> Option<Pick> {
-        let waits = self.held.values().any(|h| !h.is_empty()) || (self.ask && !self.watching);
-        (waits && self.wake_at.is_none()).then_some(Pick::Any)
+        let at = self.next_at();
+        (at < f64::INFINITY && self.wake_at.is_none_or(|t| t > at + 0.005)).then_some(Pick::At(at))
+    }
+
+    /// When a rule may fire next without further input. What only an outcome can change needs no wake.
+    fn next_at(&self) -> f64 {
+        let mut at = if self.ask && !self.watching { self.ask_at } else { f64::INFINITY };
+        for (dest, ids) in &self.held {
+            let eps = self.dests.get(dest).into_iter().flatten();
+            let free: Vec<(f64, &Route)> =
+                eps.filter_map(|ep| self.routes.get(ep).map(|r| (self.free_at(ep, r), r))).collect();
+            for (id, w) in ids.iter().filter_map(|id| Some((id, self.webhooks.get(id)?))) {
+                at = at.min(w.ttl_at - 0.005);
+                if let (Some((_, ran)), Some(t)) = (&w.ran, self.types.get(&w.evt))
+                    && t.effect == Effect::Tokened
+                {
+                    at = at.min(ran + t.known_for - 0.05);
+                }
+                let line = w.key.as_ref().and_then(|k| self.key_lines.get(k)?.front());
+                if line.is_some_and(|front| front != id) {
+                    continue;
+                }
+                let rest = w.key.as_ref().filter(|_| w.ran.is_none()).and_then(|k| self.key_rests.get(k));
+                let fits = free.iter().filter(|f| self.may_repeat(w, &f.1.zone));
+                let route = fits.map(|f| f.0).fold(f64::INFINITY, f64::min);
+                at = at.min(route.max(w.not_before).max(rest.map_or(0.0, |t| t + 0.001)));
+            }
+        }
+        if self.busy >= self.slots && !self.held.is_empty() && self.may_call_off {
+            let live = self.active.iter().filter_map(|ep| self.routes.get(ep));
+            let calls = live.flat_map(|r| r.calls.iter().map(move |c| (r, c)));
+            at =
+                calls.filter(|(_, c)| !c.called_off).map(|(r, c)| c.at + self.patience(r)).fold(at, f64::min);
+        }
+        at.max(self.now + 0.01)
+    }
+
+    /// When a route takes a call, as far as time alone decides it.
+    fn free_at(&self, ep: &Name, r: &Route) -> f64 {
+        let full = if r.open { !r.calls.is_empty() } else { r.calls.len() as f64 + 1.0 > r.window };
+        if !r.ready || full || self.busy >= self.slots || (!r.open && self.silent(r)) {
+            return f64::INFINITY;
+        }
+        self.pace_end(ep, r, false).max(if r.open { r.trial_at } else { 0.0 })
     }
 
-    fn set_wake(&mut self, _: Pick, out: &mut dyn Outbox) {
-        // 10 ms: small against every target latency, and few enough wakes to cost little.
-        self.wake_at = Some(self.now + 0.01);
-        out.wake(0.01, 0);
+    fn set_wake(&mut self, pick: Pick, out: &mut dyn Outbox) {
+        let Pick::At(at) = pick else { return };
+        // 10 ms at least: small against every target latency, and few enough wakes to cost little.
+        self.wake_at = Some(at);
+        // Half a millisecond late, so that rounding cannot make it early.
+        out.wake(at - self.now + 0.0005, 0);
     }
 }
