Scarce connections are learned by kind; useless idle ones are closed

Cause: with 50 to 300 senders every idle connection keeps others out, and each sender had to learn it for every endpoint. A connect that fails just before an answer now counts for the kind of destination for a minute; connections idle for longer than they stay open are closed at no cost.

--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -70,6 +70,7 @@
     if flag(EVENT, caps, "retry-after")? {
         sender.set_come_back(seconds(caps, "max-retry-after-ms", 0.0)?);
     }
+    sender.set_idle(seconds(caps, "conn-idle-ms", f64::MAX.sqrt())?);
     let ask = text_if(EVENT, facts, "membership-mode")? == Some("ask");
     sender.set_list(ask, seconds(rules, "ask-within-ms", 10.0)?);
     // What the wire's page says of rough weights: up to half too high.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -137,6 +137,11 @@
         self.0.cold = (from, warm, multiple);
     }
 
+    /// How long a connection that is not in use stays open by itself.
+    pub fn set_idle(&mut self, stays: f64) {
+        self.0.idle_for = stays;
+    }
+
     /// How long a key rests after an attempt that may still run.
     pub fn set_key_rest(&mut self, rest: f64) {
         self.0.key_rest = rest;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -94,6 +94,7 @@
 #[derive(Default)]
 struct Route {
     dest: u64,
+    kind: Name,
     zone: Name,
     batch: usize,
     apart: bool,
@@ -108,12 +109,14 @@
     cooling: f64,
     answered: f64,
     used: f64,
+    /// When the last call went out, and how long after the one before.
+    call_at: f64,
+    call_gap: f64,
     /// Connections are short: the window stays as it is until then.
     short_until: f64,
-    /// Connections open at most, when one was last in use, and until when no idle one is kept.
+    /// Connections open at most, when one was last in use, and when none could be had.
     links: usize,
     link_used: f64,
-    thrift_until: f64,
     no_link_at: f64,
     /// Back from an outage that this sender saw, or still in one: when it answered again, and when this sender's
     /// part of the cold budget has room for the next call.
@@ -156,6 +159,9 @@
     /// Routes with calls out, and those with connections open.
     active: BTreeSet<Name>,
     linked: BTreeSet<Name>,
+    /// Until when no idle connection is kept to a kind of destination.
+    thrift: BTreeMap<Name, f64>,
+    pub idle_for: f64,
     dests: BTreeMap<u64, Vec<Name>>,
     // pace and return
     meters: BTreeMap<Scope, Meter>,
@@ -190,6 +196,7 @@
             // A multiply-with-carry state must not be 0 nor all ones; this keeps it inside.
             chance: (seed & 0xffff_ffff) | (1 << 32),
             within: f64::INFINITY,
+            idle_for: f64::INFINITY,
             ask_at: now,
             rate_error: 1.0,
             cold: (1.0, 0.0, f64::INFINITY),
@@ -269,6 +276,7 @@
                 let (zone, window) = (e.zone.into(), self.first_window());
                 let route = Route {
                     dest: e.dest,
+                    kind: e.kind.into(),
                     zone,
                     batch,
                     apart,
@@ -277,6 +285,7 @@
                     used: now,
                     short_until: now,
                     no_link_at: now - 9.0,
+                    call_at: f64::NEG_INFINITY,
                     ..Route::default()
                 };
                 self.routes.insert(ep, route);
@@ -730,8 +739,10 @@
             Outcome::Delivered => {
                 r.answered = now;
                 if now < r.no_link_at + 4.0 {
-                    // A connect failed just before: too short for an outage, so connections are scarce there.
-                    r.thrift_until = now + 30.0;
+                    // A connect failed just before: too short for an outage, so connections are scarce there, and
+                    // most likely at all of its kind: a sender with little traffic would learn too late by route.
+                    // A minute, the design's span for what is known of a route.
+                    self.thrift.insert(r.kind.clone(), now + 60.0);
                 }
                 // One or two unanswered calls before a good answer were lost; more would be an outage.
                 let lost = if r.bad_row < 3 { r.bad_row as usize } else { 0 };
@@ -758,7 +769,8 @@
             Outcome::ConnectFailed => {
                 r.no_link_at = now;
                 let others = r.samples.iter().any(|s| s.good && s.at >= sent_at);
-                if others || (now < r.thrift_until && r.bad_row < 3) {
+                let scarce = self.thrift.get(&r.kind).is_some_and(|t| now < *t);
+                if others || (scarce && r.bad_row < 3) {
                     // No connection, yet others answer: it takes no more of them. The calls that are out show how
                     // many this sender has; 5 s, since idle ones elsewhere close after some seconds.
                     r.window = r.window.min(r.calls.len() as f64).max(1.0);
@@ -965,6 +977,7 @@
             let webhooks = BTreeSet::from([id]);
             r.calls.push(Call { at: now, trial, idle, webhooks, ..Call::default() });
             r.links = r.links.max(r.calls.len());
+            (r.call_gap, r.call_at) = (now - r.call_at, now);
             self.busy += 1;
             r.cold_due = r.cold_due.max(now) + if r.outage { 1.0 / cold_rate } else { 0.0 };
             m.sent.push_back(now);
@@ -981,10 +994,12 @@
         self.current.insert(dest, ep);
     }
 
-    /// An endpoint was out of connections lately, and nothing waits to use the idle ones of this sender: they are
-    /// closed, since they keep other senders out. It costs a handshake for each call while it lasts.
+    /// Idle connections keep other senders out where a kind of endpoint takes few. They are closed when nothing
+    /// waits for them, where a connect failed lately at a kind, which costs a handshake for each call while it
+    /// lasts; and for nothing where this sender's calls to the route come further apart than idle ones stay open.
     fn spare_links(&self) -> Option<Pick> {
-        let spare = |r: &Route| r.links > r.calls.len() && self.now < r.thrift_until;
+        let scarce = |r: &Route| self.thrift.get(&r.kind).is_some_and(|t| self.now < *t);
+        let spare = |r: &Route| r.links > r.calls.len() && (scarce(r) || r.call_gap > self.idle_for);
         let route =
             |ep: &&Name| self.routes.get(*ep).is_some_and(|r| spare(r) && !self.held.contains_key(&r.dest));
         self.linked.iter().find(route).map(|ep| Pick::Route(ep.clone()))
