--- a/src/logic.rs
+++ b/src/logic.rs
@@ -104,6 +104,8 @@
     calls: Vec<Call>,
     samples: VecDeque<Sample>,
     bad_row: u32,
+    /// When the first call of the row, or of the outage, went wrong.
+    bad_since: f64,
     open: bool,
     trial_at: f64,
     cooling: f64,
@@ -542,10 +544,8 @@
         // A limit that was cut does not make the destination weaker: what is listed counts, with its error.
         let told = m.is_some_and(|m| !m.limits.is_empty());
         let sure = if told { self.rate(r, m) } else { 0.0 }.max(r.rate / self.rate_error);
-        // Endpoints of one destination share its capacity.
-        let eps = if r.apart { 1 } else { self.dests.get(&r.dest).map_or(1, |d| d.len().max(1)) };
         // One call in 100 s at least: a rate that is not listed must not shut a route for good.
-        (sure * part * multiple / self.senders / eps as f64).max(0.01)
+        (sure * part * multiple / self.senders / self.endpoints(r)).max(0.01)
     }
 
     /// Whether the scope must wait before it takes a call, or a further webhook in a call of this turn.
@@ -572,7 +572,19 @@
         m.wait_until.max(empty).max(cold).max(spent)
     }
 
-    fn cooling_off(&mut self, scope: &Scope, wait: f64) {
+    /// Seconds until each sender that may want to call a route back from an outage, or still in one, has had a call
+    /// within the cold budget: all of them where it has much traffic, else no more than webhooks that came since.
+    fn turn(&self, r: &Route, m: Option<&Meter>, since: f64) -> f64 {
+        let came = r.rate * (self.now - since).max(0.0) / self.endpoints(r) + 1.0;
+        (came / self.senders).min(1.0) / self.cold_rate(r, m)
+    }
+
+    /// Endpoints of one destination share its rate and capacity.
+    fn endpoints(&self, r: &Route) -> f64 {
+        if r.apart { 1.0 } else { self.dests.get(&r.dest).map_or(1, |d| d.len().max(1)) as f64 }
+    }
+
+    fn cooling_off(&mut self, ep: &Name, scope: &Scope, wait: f64) {
         let jitter = self.chance();
         let (now, senders) = (self.now, self.senders);
         let m = self.meters.entry(scope.clone()).or_default();
@@ -580,18 +592,26 @@
             m.full_since = now;
         }
         m.full_row += 1;
+        let turn = self.routes.get(ep).map_or(0.0, |r| {
+            let m = self.meters.get(scope);
+            self.turn(r, m, m.map_or(now, |m| m.full_since - wait))
+        });
+        let m = self.meters.entry(scope.clone()).or_default();
         // Without a told wait: 0.2 s, then twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
-        if wait <= 0.0 {
-            m.wait_until = m.wait_until.max(now + own);
-        }
+        let spread = if wait <= 0.0 { own.max(turn * (0.5 + jitter)) } else { wait + turn * jitter };
+        m.wait_until = m.wait_until.max(now + spread);
         // A fifth less of the limit, never less than half an even part of it.
         m.share = (m.share * 0.8).max(0.5 / senders);
         let used_up = m.left.is_some_and(|(left, at)| at == now && left < 0.05);
         // Refused longer than any span of a limit lasts, and not because it tells that none of its allowance is
         // left: it is shut, which is an outage.
         if wait > 2.0 || (!used_up && m.full_row > 1 && now - m.full_since > 2.0) {
+            let since = m.full_since;
             self.mark_outage(scope, now);
+            if let Some(r) = self.routes.get_mut(ep) {
+                r.bad_since = if r.bad_row > 0 { r.bad_since.min(since) } else { since };
+            }
         }
     }
 
@@ -735,7 +755,7 @@
                     r.cooling = (r.cooling * 2.0).min(2.0);
                     r.trial_at = now + r.cooling;
                 }
-                self.cooling_off(&scope, wait);
+                self.cooling_off(&ep, &scope, wait);
                 return;
             }
             Outcome::Delivered => {
@@ -795,14 +815,23 @@
             return;
         }
         r.bad_row += 1;
+        if r.bad_row == 1 && !r.outage {
+            r.bad_since = sent_at;
+        }
         let fine = r.samples.iter().filter(|s| s.good).count();
         let quiet = !r.samples.iter().any(|s| s.good && s.at >= sent_at);
         // Two in a row with nothing good since the call went out, or most of five: the circuit opens.
         if (r.bad_row >= 2 && quiet) || (r.samples.len() >= 5 && 2 * fine < r.samples.len()) || trial {
             r.cooling = if r.open { (r.cooling * 1.5).min(2.0) } else { 0.5 };
-            (r.open, r.trial_at) = (true, now + r.cooling * (0.75 + 0.5 * jitter));
+            let (cooling, bad_row) = (r.cooling, r.bad_row);
+            r.open = true;
+            let turn =
+                self.routes.get(&ep).map_or(0.0, |r| self.turn(r, self.meters.get(&scope), r.bad_since));
+            if let Some(r) = self.routes.get_mut(&ep) {
+                r.trial_at = now + cooling.max(turn) * (0.75 + 0.5 * jitter);
+            }
             // One lost call more, or a failed trial, and it is an outage; fewer can be chance where calls get lost.
-            if trial || r.bad_row >= 3 {
+            if trial || bad_row >= 3 {
                 self.mark_outage(&scope, sent_at);
             }
         }
@@ -955,7 +984,7 @@
         let (now, senders) = (self.now, self.senders);
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
-        let cold_rate = self.cold_rate(r, self.meters.get(&scope));
+        let turn = self.turn(r, self.meters.get(&scope), r.bad_since);
         // Half a second: a connection in steady use is never idle for so long.
         let mut idle = r.links > r.calls.len() && now - r.link_used > 0.5;
         if idle && self.links_go_stale() {
@@ -974,14 +1003,14 @@
         if let Some(call) = joined {
             call.webhooks.insert(id);
             // A further webhook in a call is some more work for the destination, about a quarter of a call.
-            r.cold_due += if r.outage { 0.25 / cold_rate } else { 0.0 };
+            r.cold_due += if r.outage { 0.25 * turn } else { 0.0 };
         } else {
             let webhooks = BTreeSet::from([id]);
             r.calls.push(Call { at: now, trial, idle, webhooks, ..Call::default() });
             r.links = r.links.max(r.calls.len());
             (r.call_gap, r.call_at) = (now - r.call_at, now);
             self.busy += 1;
-            r.cold_due = r.cold_due.max(now) + if r.outage { 1.0 / cold_rate } else { 0.0 };
+            r.cold_due = r.cold_due.max(now) + if r.outage { turn } else { 0.0 };
             m.sent.push_back(now);
             // 400 calls: more than any destination here takes in a second.
             m.sent.drain(..m.sent.len().saturating_sub(400));
