--- a/src/logic.rs
+++ b/src/logic.rs
@@ -562,9 +562,9 @@
         let empty = m.left.map_or(0.0, |(left, at)| if left < 0.05 { at + 0.3 } else { 0.0 });
         let cold = if r.outage { r.cold_due } else { 0.0 };
         let rate = self.rate(r, Some(m));
-        // Up to a call a second where there are four senders or more for each call: chance decides then who has
+        // Up to a call a second where there are two senders or more for each call: chance decides then who has
         // something to send, and an even part would hold up most of it for nothing. Refusals tell where not.
-        let mine = (rate * m.share).max((self.senders / (4.0 * rate).max(0.001)).min(1.0));
+        let mine = (rate * m.share).max((self.senders / (2.0 * rate).max(0.001)).min(1.0));
         // Whole calls in about a second, the shortest span that limits here come in.
         let most = mine.ceil();
         let oldest = m.sent.len().checked_sub(most as usize).and_then(|i| m.sent.get(i));
