--- a/src/logic.rs
+++ b/src/logic.rs
@@ -544,8 +544,9 @@
         // A limit that was cut does not make the destination weaker: what is listed counts, with its error.
         let told = m.is_some_and(|m| !m.limits.is_empty());
         let sure = if told { self.rate(r, m) } else { 0.0 }.max(r.rate / self.rate_error);
-        // One call in 100 s at least: a rate that is not listed must not shut a route for good.
-        (sure * part * multiple / self.senders / self.endpoints(r)).max(0.01)
+        // A call a second where no rate is listed: that must not shut a route for good.
+        let sure = if sure > 0.0 { sure } else { 1.0 };
+        sure * part * multiple / self.senders / self.endpoints(r)
     }
 
     /// Whether the scope must wait before it takes a call, or a further webhook in a call of this turn.
