--- a/src/logic.rs
+++ b/src/logic.rs
@@ -595,12 +595,14 @@
         m.full_row += 1;
         let turn = self.routes.get(ep).map_or(0.0, |r| {
             let m = self.meters.get(scope);
-            self.turn(r, m, m.map_or(now, |m| m.full_since - wait))
+            // Refused twice in a row it may be shut; webhooks come in clumps, so two seconds' worth more may wait.
+            let clump = m.map_or(0.0, |m| if m.full_row > 1 { 2.0 } else { 0.0 });
+            self.turn(r, m, m.map_or(now, |m| m.full_since - wait - clump)) / self.endpoints(r)
         });
         let m = self.meters.entry(scope.clone()).or_default();
         // Without a told wait: 0.2 s, then twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
-        let spread = if wait <= 0.0 { own.max(turn * (0.5 + jitter)) } else { wait + turn * jitter };
+        let spread = if wait <= 0.0 { own.max(turn * (0.2 + 1.6 * jitter)) } else { wait + turn * jitter };
         m.wait_until = m.wait_until.max(now + spread);
         // A fifth less of the limit, never less than half an even part of it.
         m.share = (m.share * 0.8).max(0.5 / senders);
@@ -826,8 +828,10 @@
             r.cooling = if r.open { (r.cooling * 1.5).min(2.0) } else { 0.5 };
             let (cooling, bad_row) = (r.cooling, r.bad_row);
             r.open = true;
-            let turn =
-                self.routes.get(&ep).map_or(0.0, |r| self.turn(r, self.meters.get(&scope), r.bad_since));
+            let turn = self
+                .routes
+                .get(&ep)
+                .map_or(0.0, |r| self.turn(r, self.meters.get(&scope), r.bad_since - 2.0));
             if let Some(r) = self.routes.get_mut(&ep) {
                 r.trial_at = now + cooling.max(turn) * (0.75 + 0.5 * jitter);
             }
@@ -985,7 +989,7 @@
         let (now, senders) = (self.now, self.senders);
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
-        let turn = self.turn(r, self.meters.get(&scope), r.bad_since);
+        let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0);
         // Half a second: a connection in steady use is never idle for so long.
         let mut idle = r.links > r.calls.len() && now - r.link_used > 0.5;
         if idle && self.links_go_stale() {
