--- a/src/logic.rs
+++ b/src/logic.rs
@@ -184,8 +184,6 @@
     lost: VecDeque<bool>,
     /// The same by whether the connection had stood idle: when, idle, lost.
     stale: VecDeque<(f64, bool, bool)>,
-    /// How long the last answers of all routes took.
-    took: VecDeque<f64>,
     current: BTreeMap<u64, Name>,
     wake_at: Option<f64>,
     next_age: f64,
@@ -651,28 +649,6 @@
         if took.len() < 5 { took.last().copied().unwrap_or(0.0).max(0.6) } else { took[took.len() * 9 / 10] }
     }
 
-    /// No slot is left for a call to this route: routes that answer slowly, or not since the last calls, have half of
-    /// the slots between them, so that they cannot take all from those that answer well, whatever ails them. It
-    /// hurts where nothing else waits.
-    fn no_slot(&self, r: &Route) -> bool {
-        let doubtful = |r: &Route| {
-            let oldest = r.calls.iter().map(|c| c.at).fold(f64::INFINITY, f64::min);
-            r.bad_row > 0 || self.now - oldest > self.slow_end(r) || self.slow_end(r) > 3.0 * self.usual()
-        };
-        if self.busy >= self.slots || !doubtful(r) {
-            return self.busy >= self.slots;
-        }
-        let live = self.active.iter().filter_map(|ep| self.routes.get(ep)).filter(|r| doubtful(r));
-        2 * live.map(|r| r.calls.len()).sum::<usize>() >= self.slots
-    }
-
-    /// The middle of the last answers of all routes.
-    fn usual(&self) -> f64 {
-        let mut took: Vec<f64> = self.took.iter().copied().collect();
-        took.sort_by(f64::total_cmp);
-        took.get(took.len() / 2).copied().unwrap_or(f64::INFINITY)
-    }
-
     /// When a call is taken for lost: over three times the slow end (one call in a hundred takes longer where
     /// times are exponential), down to twice where a tenth of calls get lost; 0.8 s at least for the network and
     /// stalls of half a second. Twice as long for each call lost in a row, up to eight times, so that it follows
@@ -794,9 +770,6 @@
                     // A minute, the design's span for what is known of a route.
                     self.thrift.insert(r.kind.clone(), now + 60.0);
                 }
-                self.took.push_back(took);
-                // 15: enough for a middle.
-                self.took.drain(..self.took.len().saturating_sub(15));
                 // One or two unanswered calls before a good answer were lost; more would be an outage.
                 let lost = if r.bad_row < 3 { r.bad_row as usize } else { 0 };
                 self.lost.extend(std::iter::repeat_n(true, lost).chain([false]));
@@ -892,7 +865,8 @@
             r.calls.last().is_some_and(|c| c.at == self.now && !c.trial && c.webhooks.len() < r.batch);
         !r.ready
             || r.open
-            || (!joins && (r.calls.len() as f64 + 1.0 > r.window || self.no_slot(r) || self.silent(r)))
+            || (!joins
+                && (r.calls.len() as f64 + 1.0 > r.window || self.busy >= self.slots || self.silent(r)))
             || self.paced(ep, r, joins)
     }
 
@@ -985,11 +959,14 @@
 
     /// An open circuit admits one trial call when its time has come: the webhook that loses least by it.
     fn trial_due(&self) -> Option<Pick> {
+        if self.busy >= self.slots {
+            return None;
+        }
         for (dest, ids) in &self.held {
             for ep in self.dests.get(dest).into_iter().flatten() {
                 let Some(r) = self.routes.get(ep) else { continue };
                 let due = r.ready && r.open && r.calls.is_empty() && self.now >= r.trial_at;
-                if !due || self.no_slot(r) || self.paced(ep, r, false) {
+                if !due || self.paced(ep, r, false) {
                     continue;
                 }
                 let able = |id: &&u64| {
@@ -1126,7 +1103,7 @@
     /// When a route takes a call, as far as time alone decides it.
     fn free_at(&self, ep: &Name, r: &Route) -> f64 {
         let full = if r.open { !r.calls.is_empty() } else { r.calls.len() as f64 + 1.0 > r.window };
-        if !r.ready || full || self.no_slot(r) || (!r.open && self.silent(r)) {
+        if !r.ready || full || self.busy >= self.slots || (!r.open && self.silent(r)) {
             return f64::INFINITY;
         }
         self.pace_end(ep, r, false).max(if r.open { r.trial_at } else { 0.0 })
