--- a/src/logic.rs
+++ b/src/logic.rs
@@ -132,8 +132,6 @@
     wait_until: f64,
     sent: VecDeque<f64>,
     share: f64,
-    /// The last answers: refused, or not.
-    answers: VecDeque<bool>,
     full_row: u32,
     full_since: f64,
     limits: VecDeque<(f64, f64)>,
@@ -596,22 +594,11 @@
             m.full_since = now;
         }
         m.full_row += 1;
-        m.answers.push_back(true);
-        m.answers.drain(..m.answers.len().saturating_sub(20));
-        // Where refusals came between good answers before, a row of them is chance so far; elsewhere it may be shut.
-        // One in twenty: the usual bound of doubt. One in five where nothing is known.
-        let before = m.answers.len().saturating_sub(m.full_row as usize);
-        let refused = m.answers.iter().take(before).filter(|f| **f).count() as f64 + 0.2;
-        let chance = (refused / (before as f64 + 1.0)).powi(m.full_row as i32) > 0.05;
         let turn = self.routes.get(ep).map_or(0.0, |r| {
             let m = self.meters.get(scope);
             // Refused twice in a row it may be shut; webhooks come in clumps, so two seconds' worth more may wait.
             let clump = m.map_or(0.0, |m| if m.full_row > 1 { 2.0 } else { 0.0 });
-            if chance {
-                0.0
-            } else {
-                self.turn(r, m, m.map_or(now, |m| m.full_since - wait - clump)) / self.endpoints(r)
-            }
+            self.turn(r, m, m.map_or(now, |m| m.full_since - wait - clump)) / self.endpoints(r)
         });
         let m = self.meters.entry(scope.clone()).or_default();
         // Without a told wait: 0.2 s, then twice as long each time up to 1.6 s, since spans last a second or two.
@@ -623,7 +610,7 @@
         let used_up = m.left.is_some_and(|(left, at)| at == now && left < 0.05);
         // Refused longer than any span of a limit lasts, and not because it tells that none of its allowance is
         // left: it is shut, which is an outage.
-        if wait > 2.0 || (!used_up && !chance && now - m.full_since > 2.0) {
+        if wait > 2.0 || (!used_up && m.full_row > 1 && now - m.full_since > 2.0) {
             let since = m.full_since;
             self.mark_outage(scope, now);
             if let Some(r) = self.routes.get_mut(ep) {
@@ -789,7 +776,6 @@
                 // The last 60: enough to tell one in twenty from one in ten.
                 self.lost.drain(..self.lost.len().saturating_sub(60));
                 r.bad_row = 0;
-                m.answers.push_back(false);
                 (m.full_row, m.share) = (0, (m.share + 0.02 / senders).min(1.0));
                 if now >= r.short_until {
                     r.window = (r.window + 1.0).min((slots * 0.33).max(1.0));
