--- a/src/logic.rs
+++ b/src/logic.rs
@@ -563,9 +563,7 @@
         let empty = m.left.map_or(0.0, |(left, at)| if left < 0.05 { at + 0.3 } else { 0.0 });
         let cold = if r.outage { r.cold_due } else { 0.0 };
         let rate = self.rate(r, Some(m));
-        // Up to a call a second where there are two senders or more for each call: chance decides then who has
-        // something to send, and an even part would hold up most of it for nothing. Refusals tell where not.
-        let mine = (rate * m.share).max((self.senders / (2.0 * rate).max(0.001)).min(1.0));
+        let mine = (rate * m.share).max(1.0 / self.senders);
         // Whole calls in about a second, the shortest span that limits here come in.
         let most = mine.ceil();
         let oldest = m.sent.len().checked_sub(most as usize).and_then(|i| m.sent.get(i));
@@ -606,7 +604,8 @@
         let spread = if wait <= 0.0 { own.max(turn * (0.2 + 1.6 * jitter)) } else { wait + turn * jitter };
         m.wait_until = m.wait_until.max(now + spread);
         // A fifth less of the limit, never less than half an even part of it.
-        m.share = (m.share * 0.8).max(0.5 / senders);
+        // Far above an even part it falls by half, since refused calls use up most limits.
+        m.share = (m.share * if m.share > 2.0 / senders { 0.5 } else { 0.8 }).max(0.5 / senders);
         let used_up = m.left.is_some_and(|(left, at)| at == now && left < 0.05);
         // Refused longer than any span of a limit lasts, and not because it tells that none of its allowance is
         // left: it is shut, which is an outage.
@@ -776,7 +775,7 @@
                 // The last 60: enough to tell one in twenty from one in ten.
                 self.lost.drain(..self.lost.len().saturating_sub(60));
                 r.bad_row = 0;
-                (m.full_row, m.share) = (0, (m.share + 0.02 / senders).min(1.0));
+                (m.full_row, m.share) = (0, (m.share + 0.02 / senders).min(m.share.max(1.0)));
                 if now >= r.short_until {
                     r.window = (r.window + 1.0).min((slots * 0.33).max(1.0));
                 }
@@ -991,6 +990,11 @@
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
         let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0);
+        // An even part, 1.3 of it where calls can spill to another route. Up to a call a second where there are two
+        // senders or more for each: chance decides then who has something to send, and an even part would hold up
+        // most of it for nothing.
+        let rate = r.rate.max(0.001);
+        let share = (if r.apart { 1.0 } else { 1.3 } / senders).max((senders / (2.0 * rate)).min(1.0) / rate);
         // Half a second: a connection in steady use is never idle for so long.
         let mut idle = r.links > r.calls.len() && now - r.link_used > 0.5;
         if idle && self.links_go_stale() {
@@ -1000,12 +1004,9 @@
         }
         out.attempt(id, &ep, stop_at);
         let Some(r) = self.routes.get_mut(&ep) else { return };
-        let (batch, apart) = (r.batch, r.apart);
+        let batch = r.batch;
         let joined = r.calls.last_mut().filter(|c| c.at == now && !c.trial && c.webhooks.len() < batch);
-        let m = self
-            .meters
-            .entry(scope)
-            .or_insert_with(|| Meter { share: if apart { 1.0 } else { 1.3 } / senders, ..Meter::default() });
+        let m = self.meters.entry(scope).or_insert_with(|| Meter { share, ..Meter::default() });
         if let Some(call) = joined {
             call.webhooks.insert(id);
             // A further webhook in a call is some more work for the destination, about a quarter of a call.
