--- a/src/logic.rs
+++ b/src/logic.rs
@@ -161,8 +161,8 @@
     /// Routes with calls out, and those with connections open.
     active: BTreeSet<Name>,
     linked: BTreeSet<Name>,
-    /// Until when no idle connection is kept to a kind of destination.
-    thrift: BTreeMap<Name, f64>,
+    /// By kind of destination: until when no idle connection is kept, and calls delivered since a connect failed.
+    thrift: BTreeMap<Name, (f64, u32)>,
     pub idle_for: f64,
     dests: BTreeMap<u64, Vec<Name>>,
     // pace and return
@@ -573,10 +573,12 @@
 
     /// Seconds until each sender that may want to call a route back from an outage, or still in one, has had a call
     /// within the cold budget: all of them where it has much traffic, else no more than webhooks that came since.
-    fn turn(&self, r: &Route, m: Option<&Meter>, since: f64) -> f64 {
+    /// Also what part of all senders that is.
+    fn turn(&self, r: &Route, m: Option<&Meter>, since: f64) -> (f64, f64) {
         // Twice what the rate lets expect: few calls from many senders bunch by chance.
         let came = 2.0 * r.rate * (self.now - since).max(0.0) / self.endpoints(r) + 1.0;
-        (came / self.senders).min(1.0) / self.cold_rate(r, m)
+        let part = (came / self.senders).min(1.0);
+        (part, part / self.cold_rate(r, m))
     }
 
     /// Endpoints of one destination share its rate and capacity.
@@ -592,16 +594,22 @@
             m.full_since = now;
         }
         m.full_row += 1;
-        let turn = self.routes.get(ep).map_or(0.0, |r| {
+        let (part, turn) = self.routes.get(ep).map_or((0.0, 0.0), |r| {
             let m = self.meters.get(scope);
             // Refused twice in a row it may be shut; webhooks come in clumps, so two seconds' worth more may wait.
             let clump = m.map_or(0.0, |m| if m.full_row > 1 { 2.0 } else { 0.0 });
-            self.turn(r, m, m.map_or(now, |m| m.full_since - wait - clump)) / self.endpoints(r)
+            let (part, turn) = self.turn(r, m, m.map_or(now, |m| m.full_since - wait - clump));
+            (part, turn / self.endpoints(r))
         });
         let m = self.meters.entry(scope.clone()).or_default();
         // Without a told wait: 0.2 s, then twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
-        let spread = if wait <= 0.0 { own.max(turn * (0.2 + 1.6 * jitter)) } else { wait + turn * jitter };
+        // After a told wait, where all senders have something to send, their even parts keep them apart.
+        let spread = match (wait <= 0.0, part < 1.0) {
+            (true, _) => own.max(turn * (0.2 + 1.6 * jitter)),
+            (_, true) => wait + turn * jitter,
+            _ => wait,
+        };
         m.wait_until = m.wait_until.max(now + spread);
         // A fifth less of the limit, never less than half an even part of it.
         // Far above an even part it falls by half, since refused calls use up most limits.
@@ -763,11 +771,12 @@
             }
             Outcome::Delivered => {
                 r.answered = now;
+                self.thrift.entry(r.kind.clone()).or_default().1 += 1;
                 if now < r.no_link_at + 4.0 {
                     // A connect failed just before: too short for an outage, so connections are scarce there, and
                     // most likely at all of its kind: a sender with little traffic would learn too late by route.
                     // A minute, the design's span for what is known of a route.
-                    self.thrift.insert(r.kind.clone(), now + 60.0);
+                    self.thrift.insert(r.kind.clone(), (now + 60.0, 0));
                 }
                 // One or two unanswered calls before a good answer were lost; more would be an outage.
                 let lost = if r.bad_row < 3 { r.bad_row as usize } else { 0 };
@@ -794,7 +803,8 @@
             Outcome::ConnectFailed => {
                 r.no_link_at = now;
                 let others = r.samples.iter().any(|s| s.good && s.at >= sent_at);
-                let scarce = self.thrift.get(&r.kind).is_some_and(|t| now < *t);
+                let scarce = self.thrift.get(&r.kind).is_some_and(|t| now < t.0);
+                self.thrift.entry(r.kind.clone()).or_default().1 = 0;
                 if others || (scarce && r.bad_row < 3) {
                     // No connection, yet others answer: it takes no more of them. The calls that are out show how
                     // many this sender has; 5 s, since idle ones elsewhere close after some seconds.
@@ -831,7 +841,7 @@
             let turn = self
                 .routes
                 .get(&ep)
-                .map_or(0.0, |r| self.turn(r, self.meters.get(&scope), r.bad_since - 2.0));
+                .map_or(0.0, |r| self.turn(r, self.meters.get(&scope), r.bad_since - 2.0).1);
             if let Some(r) = self.routes.get_mut(&ep) {
                 r.trial_at = now + cooling.max(turn) * (0.75 + 0.5 * jitter);
             }
@@ -989,7 +999,7 @@
         let (now, senders) = (self.now, self.senders);
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
-        let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0);
+        let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0).1;
         // An even part, 1.3 of it where calls can spill to another route. Up to a call a second where there are two
         // senders or more for each: chance decides then who has something to send, and an even part would hold up
         // most of it for nothing.
@@ -1036,8 +1046,11 @@
     /// waits for them, where a connect failed lately at a kind, which costs a handshake for each call while it
     /// lasts; and for nothing where this sender's calls to the route come further apart than idle ones stay open.
     fn spare_links(&self) -> Option<Pick> {
-        let scarce = |r: &Route| self.thrift.get(&r.kind).is_some_and(|t| self.now < *t);
-        let spare = |r: &Route| r.links > r.calls.len() && (scarce(r) || r.call_gap > self.idle_for);
+        let scarce = |r: &Route| self.thrift.get(&r.kind).is_some_and(|t| self.now < t.0);
+        // 30 calls: enough connects to meet a scarcity.
+        let rare =
+            |r: &Route| self.thrift.get(&r.kind).is_none_or(|t| t.1 < 30) && r.call_gap > self.idle_for;
+        let spare = |r: &Route| r.links > r.calls.len() && (scarce(r) || rare(r));
         let route =
             |ep: &&Name| self.routes.get(*ep).is_some_and(|r| spare(r) && !self.held.contains_key(&r.dest));
         self.linked.iter().find(route).map(|ep| Pick::Route(ep.clone()))
