One answered error opens the circuit where nothing good is known; module shortened

Cause: hundreds of senders with one webhook each went again a second after an error and pushed a returning destination over. It may hurt where errors are stray and a route is hardly used.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,6 +59,7 @@
     ordered: bool,
 }
 
+#[derive(Default)]
 struct Webhook {
     evt: Name,
     dest: u64,
@@ -116,10 +117,9 @@
     call_gap: f64,
     /// Connections are short: the window stays as it is until then.
     short_until: f64,
-    /// Connections open at most, when one was last in use, and when none could be had.
+    /// Connections open at most, and when none could be had.
     links: usize,
-    link_used: f64,
-    no_link_at: f64,
+    no_link_at: Option<f64>,
     /// Back from an outage that this sender saw, or still in one: when it answered again, and when this sender's
     /// part of the cold budget has room for the next call.
     outage: bool,
@@ -191,23 +191,13 @@
 
 impl Logic {
     pub fn new(now: f64, seed: u64, number: u64, senders: u64) -> Self {
-        Logic {
-            now,
-            number,
-            senders: senders.max(1) as f64,
-            // A multiply-with-carry state must not be 0 nor all ones; this keeps it inside.
-            chance: (seed & 0xffff_ffff) | (1 << 32),
-            within: f64::INFINITY,
-            idle_for: f64::INFINITY,
-            ask_at: now,
-            rate_error: 1.0,
-            cold: (1.0, 0.0, f64::INFINITY),
-            slots: 1,
-            holds: 1,
-            attempts: 1,
-            next_age: now,
-            ..Logic::default()
-        }
+        let senders = senders.max(1) as f64;
+        let mut logic = Logic { now, number, senders, ask_at: now, next_age: now, ..Logic::default() };
+        // A multiply-with-carry state must not be 0 nor all ones; this keeps it inside.
+        logic.chance = (seed & 0xffff_ffff) | (1 << 32);
+        (logic.within, logic.idle_for, logic.rate_error) = (f64::INFINITY, f64::INFINITY, 1.0);
+        (logic.cold, logic.slots, logic.holds, logic.attempts) = ((1.0, 0.0, f64::INFINITY), 1, 1, 1);
+        logic
     }
 
     pub fn set_event_type(&mut self, name: &str, target: f64, ttl: f64, value: f64, late: f64, halves: bool) {
@@ -276,18 +266,16 @@
                 let ep: Name = e.ep.into();
                 self.dests.entry(e.dest).or_default().push(ep.clone());
                 let (zone, window) = (e.zone.into(), self.first_window());
+                let (dest, kind) = (e.dest, e.kind.into());
                 let route = Route {
-                    dest: e.dest,
-                    kind: e.kind.into(),
+                    dest,
+                    kind,
                     zone,
                     batch,
                     apart,
                     window,
                     answered: now,
                     used: now,
-                    short_until: now,
-                    no_link_at: now - 9.0,
-                    call_at: f64::NEG_INFINITY,
                     ..Route::default()
                 };
                 self.routes.insert(ep, route);
@@ -313,19 +301,8 @@
             self.key_lines.entry(k.clone()).or_default().push_back(id);
         }
         let over = customer.is_some_and(|c| self.over_share(c));
-        let webhook = Webhook {
-            evt: evt.into(),
-            dest,
-            key: line,
-            over,
-            target_at,
-            ttl_at,
-            tries: 0,
-            out: None,
-            ran: None,
-            not_before: 0.0,
-            ended: false,
-        };
+        let webhook =
+            Webhook { evt: evt.into(), dest, key: line, over, target_at, ttl_at, ..Webhook::default() };
         self.webhooks.insert(id, webhook);
         self.held.entry(dest).or_default().push(id);
     }
@@ -431,13 +408,14 @@
         }
     }
 
-    fn has_turn(&self, id: u64, w: &Webhook) -> bool {
-        let Some(k) = &w.key else { return true };
+    /// When it is a webhook's turn among those of its key, as far as time alone decides it.
+    fn turn_at(&self, id: u64, w: &Webhook) -> f64 {
+        let Some(k) = &w.key else { return 0.0 };
         if self.key_lines.get(k).and_then(|l| l.front()) != Some(&id) {
-            return false;
+            return f64::INFINITY;
         }
-        // 1 ms more, so that rounding cannot end the rest early.
-        w.ran.is_some() || self.key_rests.get(k).is_none_or(|t| self.now > *t + 0.001)
+        // The one that has the turn need not rest. 1 ms more, so that rounding cannot end the rest early.
+        if w.ran.is_some() { 0.0 } else { self.key_rests.get(k).map_or(0.0, |t| t + 0.001) }
     }
 
     fn out_of_time(&self) -> Option<Pick> {
@@ -549,11 +527,7 @@
         sure * part * multiple / self.senders / self.endpoints(r)
     }
 
-    /// Whether the scope must wait before it takes a call, or a further webhook in a call of this turn.
-    fn paced(&self, ep: &Name, r: &Route, joins: bool) -> bool {
-        self.pace_end(ep, r, joins) > self.now
-    }
-
+    /// When the scope takes a call, or a further webhook in a call of this turn.
     fn pace_end(&self, ep: &Name, r: &Route, joins: bool) -> f64 {
         let Some(m) = self.meters.get(&Self::scope(ep, r)) else { return 0.0 };
         if joins {
@@ -594,25 +568,22 @@
             m.full_since = now;
         }
         m.full_row += 1;
-        let (part, turn) = self.routes.get(ep).map_or((0.0, 0.0), |r| {
-            let m = self.meters.get(scope);
-            // Refused twice in a row it may be shut; webhooks come in clumps, so two seconds' worth more may wait.
-            let clump = m.map_or(0.0, |m| if m.full_row > 1 { 2.0 } else { 0.0 });
-            let (part, turn) = self.turn(r, m, m.map_or(now, |m| m.full_since - wait - clump));
-            (part, turn / self.endpoints(r))
-        });
+        // Refused twice in a row it may be shut; webhooks come in clumps, so two seconds' worth more may wait.
+        let since = m.full_since - wait - if m.full_row > 1 { 2.0 } else { 0.0 };
+        let (r, m) = (&self.routes[ep], self.meters.get(scope));
+        let (part, turn) = self.turn(r, m, since);
+        let turn = turn / self.endpoints(r);
         let m = self.meters.entry(scope.clone()).or_default();
         // Without a told wait: 0.2 s, then twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
-        // After a told wait, where all senders have something to send, their even parts keep them apart.
-        let spread = match (wait <= 0.0, part < 1.0) {
+        // After a told wait, where all senders have something to send, even parts keep them apart.
+        let spread = match (wait <= 0.0, part < 1.0 || m.share * senders > 1.5) {
             (true, _) => own.max(turn * (0.2 + 1.6 * jitter)),
             (_, true) => wait + turn * jitter,
             _ => wait,
         };
         m.wait_until = m.wait_until.max(now + spread);
-        // A fifth less of the limit, never less than half an even part of it.
-        // Far above an even part it falls by half, since refused calls use up most limits.
+        // A fifth less of the limit, by half far above an even part, since refused calls use up most limits.
         m.share = (m.share * if m.share > 2.0 / senders { 0.5 } else { 0.8 }).max(0.5 / senders);
         let used_up = m.left.is_some_and(|(left, at)| at == now && left < 0.05);
         // Refused longer than any span of a limit lasts, and not because it tells that none of its allowance is
@@ -685,12 +656,15 @@
         if !self.may_call_off || self.busy < self.slots || self.held.is_empty() {
             return None;
         }
+        let worst = self.patience_ends().min_by(|a, b| a.0.total_cmp(&b.0))?;
+        (worst.0 < self.now).then_some(Pick::Webhook(worst.1))
+    }
+
+    /// When patience with each call that is out ends, and a webhook in it.
+    fn patience_ends(&self) -> impl Iterator<Item = (f64, u64)> {
         let live = self.active.iter().filter_map(|ep| self.routes.get(ep));
-        let calls = live.flat_map(|r| r.calls.iter().map(move |c| (r, c)));
-        let over = |r: &Route, c: &Call| self.now - c.at - self.patience(r);
-        let past = calls.filter(|(r, c)| !c.called_off && over(r, c) > 0.0);
-        let worst = past.max_by(|a, b| over(a.0, a.1).total_cmp(&over(b.0, b.1)))?;
-        worst.1.webhooks.first().map(|id| Pick::Webhook(*id))
+        let calls = live.flat_map(|r| r.calls.iter().filter(|c| !c.called_off).map(move |c| (r, c)));
+        calls.filter_map(|(r, c)| Some((c.at + self.patience(r), *c.webhooks.first()?)))
     }
 
     fn call_off(&mut self, pick: Pick, out: &mut dyn Outbox) {
@@ -735,7 +709,6 @@
             return;
         }
         r.used = now;
-        r.link_used = now;
         if !trial && r.bad_row == 0 {
             // Only the first loss of a row counts: a hung endpoint is tried again and again after a pause.
             let lost = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Reset);
@@ -772,7 +745,7 @@
             Outcome::Delivered => {
                 r.answered = now;
                 self.thrift.entry(r.kind.clone()).or_default().1 += 1;
-                if now < r.no_link_at + 4.0 {
+                if r.no_link_at.is_some_and(|t| now < t + 4.0) {
                     // A connect failed just before: too short for an outage, so connections are scarce there, and
                     // most likely at all of its kind: a sender with little traffic would learn too late by route.
                     // A minute, the design's span for what is known of a route.
@@ -801,7 +774,7 @@
             }
             Outcome::Failed => r.answered = now,
             Outcome::ConnectFailed => {
-                r.no_link_at = now;
+                r.no_link_at = Some(now);
                 let others = r.samples.iter().any(|s| s.good && s.at >= sent_at);
                 let scarce = self.thrift.get(&r.kind).is_some_and(|t| now < t.0);
                 self.thrift.entry(r.kind.clone()).or_default().1 = 0;
@@ -833,15 +806,17 @@
         }
         let fine = r.samples.iter().filter(|s| s.good).count();
         let quiet = !r.samples.iter().any(|s| s.good && s.at >= sent_at);
-        // Two in a row with nothing good since the call went out, or most of five: the circuit opens.
-        if (r.bad_row >= 2 && quiet) || (r.samples.len() >= 5 && 2 * fine < r.samples.len()) || trial {
+        // Two in a row with nothing good since the call went out, one error where nothing good is known at all (a
+        // sender of little traffic sees no more of an outage), or most of five: the circuit opens.
+        let alone = fine == 0 && outcome == Outcome::Failed;
+        if ((r.bad_row >= 2 || alone) && quiet)
+            || (r.samples.len() >= 5 && 2 * fine < r.samples.len())
+            || trial
+        {
             r.cooling = if r.open { (r.cooling * 1.5).min(2.0) } else { 0.5 };
-            let (cooling, bad_row) = (r.cooling, r.bad_row);
+            let (cooling, bad_row, since) = (r.cooling, r.bad_row, r.bad_since);
             r.open = true;
-            let turn = self
-                .routes
-                .get(&ep)
-                .map_or(0.0, |r| self.turn(r, self.meters.get(&scope), r.bad_since - 2.0).1);
+            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0).1;
             if let Some(r) = self.routes.get_mut(&ep) {
                 r.trial_at = now + cooling.max(turn) * (0.75 + 0.5 * jitter);
             }
@@ -872,11 +847,8 @@
     fn gated(&self, ep: &Name, r: &Route) -> bool {
         let joins =
             r.calls.last().is_some_and(|c| c.at == self.now && !c.trial && c.webhooks.len() < r.batch);
-        !r.ready
-            || r.open
-            || (!joins
-                && (r.calls.len() as f64 + 1.0 > r.window || self.busy >= self.slots || self.silent(r)))
-            || self.paced(ep, r, joins)
+        let at = if joins && r.ready { self.pace_end(ep, r, true) } else { self.free_at(ep, r) };
+        r.open || at > self.now
     }
 
     /// Routes of a destination that may take a call now, best first.
@@ -950,7 +922,7 @@
             let usual = self.slow_end(&self.routes[*first]);
             for id in ids {
                 let Some(w) = self.webhooks.get(id) else { continue };
-                if self.now < w.not_before || !self.has_turn(*id, w) {
+                if self.now < w.not_before.max(self.turn_at(*id, w)) {
                     continue;
                 }
                 let rank = self.rank(w, usual);
@@ -968,19 +940,15 @@
 
     /// An open circuit admits one trial call when its time has come: the webhook that loses least by it.
     fn trial_due(&self) -> Option<Pick> {
-        if self.busy >= self.slots {
-            return None;
-        }
         for (dest, ids) in &self.held {
             for ep in self.dests.get(dest).into_iter().flatten() {
                 let Some(r) = self.routes.get(ep) else { continue };
-                let due = r.ready && r.open && r.calls.is_empty() && self.now >= r.trial_at;
-                if !due || self.paced(ep, r, false) {
+                if !r.open || self.free_at(ep, r) > self.now {
                     continue;
                 }
                 let able = |id: &&u64| {
                     let Some(w) = self.webhooks.get(id) else { return false };
-                    self.now >= w.not_before && self.has_turn(**id, w) && self.may_repeat(w, &r.zone)
+                    self.now >= w.not_before.max(self.turn_at(**id, w)) && self.may_repeat(w, &r.zone)
                 };
                 let harm = |id: &&u64| {
                     let effect = self.webhooks.get(id).and_then(|w| self.types.get(&w.evt)).map(|t| t.effect);
@@ -1006,7 +974,7 @@
         let rate = r.rate.max(0.001);
         let share = (if r.apart { 1.0 } else { 1.3 } / senders).max((senders / (2.0 * rate)).min(1.0) / rate);
         // Half a second: a connection in steady use is never idle for so long.
-        let mut idle = r.links > r.calls.len() && now - r.link_used > 0.5;
+        let mut idle = r.links > r.calls.len() && now - r.used > 0.5;
         if idle && self.links_go_stale() {
             // A handshake costs less than a lost call. It hurts only where the losses had another cause.
             idle = false;
@@ -1095,21 +1063,13 @@
                 {
                     at = at.min(ran + t.known_for - 0.05);
                 }
-                let line = w.key.as_ref().and_then(|k| self.key_lines.get(k)?.front());
-                if line.is_some_and(|front| front != id) {
-                    continue;
-                }
-                let rest = w.key.as_ref().filter(|_| w.ran.is_none()).and_then(|k| self.key_rests.get(k));
                 let fits = free.iter().filter(|f| self.may_repeat(w, &f.1.zone));
                 let route = fits.map(|f| f.0).fold(f64::INFINITY, f64::min);
-                at = at.min(route.max(w.not_before).max(rest.map_or(0.0, |t| t + 0.001)));
+                at = at.min(route.max(w.not_before).max(self.turn_at(*id, w)));
             }
         }
         if self.busy >= self.slots && !self.held.is_empty() && self.may_call_off {
-            let live = self.active.iter().filter_map(|ep| self.routes.get(ep));
-            let calls = live.flat_map(|r| r.calls.iter().map(move |c| (r, c)));
-            at =
-                calls.filter(|(_, c)| !c.called_off).map(|(r, c)| c.at + self.patience(r)).fold(at, f64::min);
+            at = self.patience_ends().map(|c| c.0).fold(at, f64::min);
         }
         at.max(self.now + 0.01)
     }
