--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,5 +1,5 @@
-//! Hosts many isolated senders on the simulator's wire: one JSON line in, one JSON line out. It turns fields into
-//! calls, milliseconds into seconds and effects into actions, and decides nothing.
+//! Hosts many isolated senders on the simulator's wire: one JSON line in, one JSON line out. It turns fields
+//! into calls, milliseconds into seconds and effects into actions, and decides nothing.
 
 mod settings;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,20 +1,21 @@
 //! The interface of scalebarrow's decision module: one method for each thing that a sender can learn, and the
 //! [`Outbox`] through which it acts. Nothing here belongs to a particular protocol.
 //!
-//! Times are seconds with fractions; `now` is the caller's clock and must never run backwards. A sender is opened
-//! with [`Sender::open`], told its settings by the `set_*` methods, and then fed inputs in the order they come. All
-//! decisions are in `logic`; this file only passes them on.
+//! Times are seconds with fractions; `now` is the caller's clock and must never run backwards. A sender is
+//! opened with [`Sender::open`], told its settings by the `set_*` methods, and then fed inputs in the order
+//! they come. All decisions are in `logic`; this file only passes them on.
 
 mod logic;
 
 /// What a webhook does at its destination when it arrives more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// It may run again.
     Idempotent,
     /// It carries a mark by which some endpoints know a repeat.
     Tokened,
     /// It must never run twice.
+    #[default]
     AtMostOnce,
 }
 
@@ -65,7 +66,8 @@
     fn attempt(&mut self, webhook: u64, ep: &str, stop_at: f64);
     /// Stop waiting for attempt number `hop` of a webhook.
     fn call_off(&mut self, webhook: u64, hop: u32);
-    /// Final answer: handing the webhook in again does no harm; not before `come_back` seconds (0: nothing said).
+    /// Final answer: handing the webhook in again does no harm; not before `come_back` seconds (0: nothing
+    /// said).
     fn reject(&mut self, webhook: u64, come_back: f64);
     /// Final answer: given up, with no promise.
     fn dead_letter(&mut self, webhook: u64);
@@ -88,26 +90,28 @@
         Sender(logic::Logic::new(now, seed, number, senders))
     }
 
-    /// An event type: wanted within `target` seconds, given up after `ttl`; `late` is the share of `value` left
-    /// then, reached by halving with each further target latency or evenly.
+    /// An event type: wanted within `target` seconds, given up after `ttl`; `late` is the share of `value`
+    /// left then, reached by halving with each further target latency or evenly.
     pub fn set_event_type(&mut self, name: &str, target: f64, ttl: f64, value: f64, late: f64, halves: bool) {
         self.0.set_event_type(name, target, ttl, value, late, halves);
     }
 
-    /// What a repeat of an event type does, and whether webhooks with one key go in order. For a tokened type:
-    /// how long a repeat is known, and whether by all endpoints of the destination or those of one zone.
+    /// What a repeat of an event type does, and whether webhooks with one key go in order. For a tokened
+    /// type: how long a repeat is known, and whether by all endpoints of the destination or those of one
+    /// zone.
     pub fn set_effect(&mut self, name: &str, effect: Effect, known_for: f64, by_all: bool, ordered: bool) {
         self.0.set_effect(name, effect, known_for, by_all, ordered);
     }
 
     /// A kind of destination: webhooks in one call at most, and whether its endpoints are routes apart.
     pub fn set_kind(&mut self, name: &str, batch: usize, apart: bool) {
-        self.0.set_kind(name, batch, apart);
+        self.0.kinds.insert(name.into(), (batch.max(1), apart));
     }
 
-    /// A customer's share of the traffic: webhooks a second from all senders; value beyond it counts `over` times.
+    /// A customer's share of the traffic: webhooks a second from all senders; value beyond it counts `over`
+    /// times.
     pub fn set_customer(&mut self, name: &str, quota: f64, over: f64) {
-        self.0.set_customer(name, quota, over);
+        self.0.customers.insert(name.into(), (quota, over, Default::default()));
     }
 
     /// Calls out at once, webhooks held (sent or not), and delivery attempts for one webhook, at most.
@@ -131,8 +135,8 @@
         self.0.rate_error = factor;
     }
 
-    /// A destination back from an outage has `from` of its capacity, all of it after `warm` seconds, and falls over
-    /// when sent more than `multiple` times what it can do for long.
+    /// A destination back from an outage has `from` of its capacity, all of it after `warm` seconds, and
+    /// falls over when sent more than `multiple` times what it can do for long.
     pub fn set_cold(&mut self, from: f64, warm: f64, multiple: f64) {
         self.0.cold = (from, warm, multiple);
     }
@@ -163,8 +167,8 @@
         self.0.settle(out);
     }
 
-    /// A delivery attempt ended. `ended` is set where the webhook has its final answer; `report` is the share of
-    /// the destination's limit that is left and the limit in calls a second, where it told them.
+    /// A delivery attempt ended. `ended` is set where the webhook has its final answer; `report` is the share
+    /// of the destination's limit that is left and the limit in calls a second, where it told them.
     #[allow(clippy::too_many_arguments)]
     pub fn outcome(
         &mut self, now: f64, id: u64, ep: &str, outcome: Outcome, took: f64, ended: bool,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,9 +1,9 @@
-//! All decisions of a scalebarrow sender. The interface, with a word on every input and effect, is `src/lib.rs`: make
-//! a `Logic`, hand it its settings, then call one method per input and `settle` after each. `settle` goes through
-//! `RULES` in order, from the top after every firing, until none fires.
+//! All decisions of a scalebarrow sender. The interface, with a word on each input, is `src/lib.rs`:
+//! make a `Logic`, hand it its settings, then call one method per input and `settle` after each. That goes
+//! through `RULES` in order, from the top after every firing, until none fires.
 //!
-//! The ordinary route of a webhook is the design's: gates, weighted score, argmax with a margin, hash ties, spill and
-//! the window (`docs/design.md`). Beside it stand six mechanisms:
+//! The ordinary route of a webhook is the design's: gates, weighted score, argmax with a margin, hash ties,
+//! spill and the window (`docs/design.md`). Beside it stand six mechanisms:
 //! 1. ledger: one final answer in TTL; what may have run, by effect and group; key order and rest
 //! 2. list: watch upkeep, drains
 //! 3. pace: waits; a share of each limit; batches
@@ -15,7 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
-type Name = Rc<str>;
+pub(crate) type Name = Rc<str>;
 /// What shares a limit, waits and outages: a destination, or one route of it where routes are apart.
 type Scope = (u64, Option<Name>);
 
@@ -47,6 +47,7 @@
     Rule { name: "wake", when: Logic::wake_due, then: Logic::set_wake },
 ];
 
+#[derive(Default)]
 struct EventType {
     target: f64,
     ttl: f64,
@@ -120,8 +121,8 @@
     /// Connections open at most, and when none could be had.
     links: usize,
     no_link_at: Option<f64>,
-    /// Back from an outage that this sender saw, or still in one: when it answered again, and when this sender's
-    /// part of the cold budget has room for the next call.
+    /// Back from an outage that this sender saw, or still in one: when it answered again, and when this
+    /// sender's part of the cold budget has room for the next call.
     outage: bool,
     back: Option<f64>,
     cold_due: f64,
@@ -144,14 +145,12 @@
     number: u64,
     senders: f64,
     chance: u64,
-    // ledger
     types: BTreeMap<Name, EventType>,
     webhooks: BTreeMap<u64, Webhook>,
     key_lines: BTreeMap<Name, VecDeque<u64>>,
     key_rests: BTreeMap<Name, f64>,
     pub key_rest: f64,
-    // list
-    kinds: BTreeMap<Name, (usize, bool)>,
+    pub kinds: BTreeMap<Name, (usize, bool)>,
     pub ask: bool,
     pub within: f64,
     watching: bool,
@@ -161,22 +160,19 @@
     /// Routes with calls out, and those with connections open.
     active: BTreeSet<Name>,
     linked: BTreeSet<Name>,
-    /// By kind of destination: until when no idle connection is kept, and calls delivered since a connect failed.
+    /// By kind: until when no idle connection is kept, and calls delivered since a connect failed.
     thrift: BTreeMap<Name, (f64, u32)>,
     pub idle_for: f64,
     dests: BTreeMap<u64, Vec<Name>>,
-    // pace and return
     meters: BTreeMap<Scope, Meter>,
     pub rate_error: f64,
     pub cold: (f64, f64, f64),
-    // queue
     held: BTreeMap<u64, Vec<u64>>,
     pub slots: usize,
     busy: usize,
     pub holds: usize,
     pub come_back: f64,
-    customers: BTreeMap<Name, (f64, f64, VecDeque<f64>)>,
-    // attempts
+    pub customers: BTreeMap<Name, (f64, f64, VecDeque<f64>)>,
     pub attempts: u32,
     pub may_call_off: bool,
     retries: VecDeque<bool>,
@@ -201,9 +197,7 @@
     }
 
     pub fn set_event_type(&mut self, name: &str, target: f64, ttl: f64, value: f64, late: f64, halves: bool) {
-        let (effect, known_for) = (Effect::AtMostOnce, 0.0);
-        let evt =
-            EventType { target, ttl, value, late, halves, effect, known_for, by_all: false, ordered: false };
+        let evt = EventType { target, ttl, value, late, halves, ..EventType::default() };
         self.types.insert(name.into(), evt);
     }
 
@@ -213,14 +207,6 @@
         }
     }
 
-    pub fn set_kind(&mut self, name: &str, batch: usize, apart: bool) {
-        self.kinds.insert(name.into(), (batch.max(1), apart));
-    }
-
-    pub fn set_customer(&mut self, name: &str, quota: f64, over: f64) {
-        self.customers.insert(name.into(), (quota, over, VecDeque::new()));
-    }
-
     /// Marsaglia's multiply-with-carry, 32 bits; the multiplier is one that he lists.
     fn chance(&mut self) -> f64 {
         self.chance = 4_294_957_665 * (self.chance & 0xffff_ffff) + (self.chance >> 32);
@@ -228,13 +214,11 @@
     }
 
     pub fn settle(&mut self, out: &mut dyn Outbox) {
-        // Every firing ends a webhook, sends one, or moves a time forward, so the list runs dry; the bound only
-        // turns a mistake in that argument into a late decision instead of an endless loop.
+        // Every firing ends a webhook, sends one, or moves a time; the bound guards against a mistake there.
         let mut last = "";
         for _ in 0..100_000 {
-            let Some((rule, pick)) = RULES.iter().find_map(|r| (r.when)(self).map(|p| (r, p))) else {
-                return;
-            };
+            let found = RULES.iter().find_map(|r| (r.when)(self).map(|p| (r, p)));
+            let Some((rule, pick)) = found else { return };
             last = rule.name;
             (rule.then)(self, pick, out);
         }
@@ -247,7 +231,7 @@
         self.now = now;
         match mode {
             ListMode::Refused => {
-                // The notice does not say whether the watch stands, so it is asked for again, less often each time.
+                // This does not say whether the watch stands: it is asked for again, less often each time.
                 self.watching = false;
                 self.refusals += 1;
                 let step = (0.4 * f64::from(1 << self.refusals.min(4))).min(self.within / 4.0);
@@ -267,17 +251,8 @@
                 self.dests.entry(e.dest).or_default().push(ep.clone());
                 let (zone, window) = (e.zone.into(), self.first_window());
                 let (dest, kind) = (e.dest, e.kind.into());
-                let route = Route {
-                    dest,
-                    kind,
-                    zone,
-                    batch,
-                    apart,
-                    window,
-                    answered: now,
-                    used: now,
-                    ..Route::default()
-                };
+                let mut route = Route { dest, kind, zone, batch, apart, window, ..Route::default() };
+                (route.answered, route.used) = (now, now);
                 self.routes.insert(ep, route);
             }
             let Some(r) = self.routes.get_mut(e.ep) else { continue };
@@ -333,16 +308,14 @@
         if w.tries > 1 {
             self.retries.push_back(outcome == Outcome::Delivered);
             // 20 further attempts: enough to tell one in ten from one in two.
-            if self.retries.len() > 20 {
-                self.retries.pop_front();
-            }
+            self.retries.drain(..self.retries.len().saturating_sub(20));
         }
         if ended || w.ended {
             self.close(id);
             return;
         }
-        // How often further attempts are made follows how many of the recent ones succeeded: 0.1 s apart (a short
-        // stall is over by then) when all did, up to 2 s when none.
+        // How often further attempts are made follows how many of the recent ones succeeded: 0.1 s apart (a
+        // short stall is over by then) when all did, up to 2 s when none.
         let good = self.retries.iter().filter(|g| **g).count() + 1;
         w.not_before = now + (0.1 * (self.retries.len() + 1) as f64 / good as f64).min(2.0);
         let dest = w.dest;
@@ -397,17 +370,24 @@
         w.ran.is_none() || t.effect == Effect::Idempotent || (t.effect == Effect::Tokened && t.by_all)
     }
 
-    /// Sending to an endpoint in `zone` cannot make a second effect.
-    fn may_repeat(&self, w: &Webhook, zone: &str) -> bool {
-        let (Some(t), Some((first, at))) = (self.types.get(&w.evt), &w.ran) else { return w.ran.is_none() };
+    /// Until when a repeat cannot make a second effect.
+    fn repeat_until(&self, w: &Webhook) -> f64 {
+        let (Some(t), Some((_, at))) = (self.types.get(&w.evt), &w.ran) else { return f64::INFINITY };
         match t.effect {
-            Effect::Idempotent => true,
+            Effect::Idempotent => f64::INFINITY,
             // 50 ms short, since the repeat takes time to arrive.
-            Effect::Tokened => (t.by_all || **first == *zone) && self.now < at + t.known_for - 0.05,
-            Effect::AtMostOnce => false,
+            Effect::Tokened => at + t.known_for - 0.05,
+            Effect::AtMostOnce => 0.0,
         }
     }
 
+    /// Sending to an endpoint in `zone` cannot make a second effect.
+    fn may_repeat(&self, w: &Webhook, zone: &str) -> bool {
+        let (Some(t), Some((first, _))) = (self.types.get(&w.evt), &w.ran) else { return w.ran.is_none() };
+        let known = t.effect != Effect::Tokened || t.by_all || **first == *zone;
+        known && self.now < self.repeat_until(w)
+    }
+
     /// When it is a webhook's turn among those of its key, as far as time alone decides it.
     fn turn_at(&self, id: u64, w: &Webhook) -> f64 {
         let Some(k) = &w.key else { return 0.0 };
@@ -428,8 +408,7 @@
     fn spent(&self) -> Option<Pick> {
         let done = |id: &&u64| {
             let Some(w) = self.webhooks.get(id) else { return false };
-            let barred = w.ran.as_ref().is_some_and(|(zone, _)| !self.may_repeat(w, zone));
-            barred || w.tries >= self.attempts || !self.types.contains_key(&w.evt)
+            self.now >= self.repeat_until(w) || w.tries >= self.attempts || !self.types.contains_key(&w.evt)
         };
         self.held.values().flatten().find(done).map(|id| Pick::Webhook(*id))
     }
@@ -446,13 +425,11 @@
 
     fn give_up(&mut self, pick: Pick, out: &mut dyn Outbox) {
         let Pick::Webhook(id) = pick else { return };
-        if let Some(w) = self.webhooks.get(&id) {
-            if self.may_reject(w) {
-                // A second: most crowds and short refusals are over by then.
-                out.reject(id, self.come_back.min(1.0));
-            } else {
-                out.dead_letter(id);
-            }
+        match self.webhooks.get(&id).map(|w| self.may_reject(w)) {
+            // A second: most crowds and short refusals are over by then.
+            Some(true) => out.reject(id, self.come_back.min(1.0)),
+            Some(false) => out.dead_letter(id),
+            None => {}
         }
         self.close(id);
     }
@@ -505,8 +482,7 @@
         (r.dest, r.apart.then(|| ep.clone()))
     }
 
-    /// Calls a second that a scope takes from all senders: as reported in the last 5 s, else as listed. An old
-    /// report of a limit that was cut would keep this sender from ever hearing that it is back.
+    /// Calls a second that a scope takes from all senders: as reported in the last 5 s, else as listed.
     fn rate(&self, r: &Route, m: Option<&Meter>) -> f64 {
         let mut told: Vec<f64> =
             m.map_or(Vec::new(), |m| m.limits.iter().filter(|l| l.0 > self.now - 5.0).map(|l| l.1).collect());
@@ -545,9 +521,8 @@
         m.wait_until.max(empty).max(cold).max(spent)
     }
 
-    /// Seconds until each sender that may want to call a route back from an outage, or still in one, has had a call
-    /// within the cold budget: all of them where it has much traffic, else no more than webhooks that came since.
-    /// Also what part of all senders that is.
+    /// What part of all senders may want a route back from an outage, or still in one: no more than webhooks
+    /// that came since; and the seconds until each of them has had a call within the cold budget.
     fn turn(&self, r: &Route, m: Option<&Meter>, since: f64) -> (f64, f64) {
         // Twice what the rate lets expect: few calls from many senders bunch by chance.
         let came = 2.0 * r.rate * (self.now - since).max(0.0) / self.endpoints(r) + 1.0;
@@ -564,30 +539,25 @@
         let jitter = self.chance();
         let (now, senders) = (self.now, self.senders);
         let m = self.meters.entry(scope.clone()).or_default();
-        if m.full_row == 0 {
-            m.full_since = now;
-        }
+        m.full_since = if m.full_row == 0 { now } else { m.full_since };
         m.full_row += 1;
-        // Refused twice in a row it may be shut; webhooks come in clumps, so two seconds' worth more may wait.
+        // Refused twice in a row it may be shut; two seconds' worth more may wait, since clumps come.
         let since = m.full_since - wait - if m.full_row > 1 { 2.0 } else { 0.0 };
         let (r, m) = (&self.routes[ep], self.meters.get(scope));
         let (part, turn) = self.turn(r, m, since);
         let turn = turn / self.endpoints(r);
         let m = self.meters.entry(scope.clone()).or_default();
-        // Without a told wait: 0.2 s, then twice as long each time up to 1.6 s, since spans last a second or two.
+        // Without a told wait: 0.2 s, twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
         // After a told wait, where all senders have something to send, even parts keep them apart.
-        let spread = match (wait <= 0.0, part < 1.0 || m.share * senders > 1.5) {
-            (true, _) => own.max(turn * (0.2 + 1.6 * jitter)),
-            (_, true) => wait + turn * jitter,
-            _ => wait,
-        };
+        let even = part >= 1.0 && m.share * senders <= 1.5;
+        let after = wait + if even { 0.0 } else { turn * jitter };
+        let spread = if wait > 0.0 { after } else { own.max(turn * (0.2 + 1.6 * jitter)) };
         m.wait_until = m.wait_until.max(now + spread);
         // A fifth less of the limit, by half far above an even part, since refused calls use up most limits.
         m.share = (m.share * if m.share > 2.0 / senders { 0.5 } else { 0.8 }).max(0.5 / senders);
         let used_up = m.left.is_some_and(|(left, at)| at == now && left < 0.05);
-        // Refused longer than any span of a limit lasts, and not because it tells that none of its allowance is
-        // left: it is shut, which is an outage.
+        // Refused longer than any span of a limit, though no report says so: shut, which is an outage.
         if wait > 2.0 || (!used_up && m.full_row > 1 && now - m.full_since > 2.0) {
             let since = m.full_since;
             self.mark_outage(scope, now);
@@ -597,7 +567,7 @@
         }
     }
 
-    /// An outage was seen in a scope: all its routes that have not answered well since `since` may come back cold.
+    /// An outage was seen in a scope: all its routes not answering well since `since` may come back cold.
     fn mark_outage(&mut self, scope: &Scope, since: f64) {
         let eps = match &scope.1 {
             Some(ep) => std::slice::from_ref(ep),
@@ -619,18 +589,16 @@
         (self.slots as f64 / 8.0).max(1.0)
     }
 
-    /// How long all but the slowest tenth of recent answers took; 0.6 s at least where few are known: unknown
-    /// partners answer in a few tenths of a second.
+    /// How long all but the slowest tenth of recent answers took; 0.6 s at least where few are known.
     fn slow_end(&self, r: &Route) -> f64 {
         let mut took: Vec<f64> = r.samples.iter().filter(|s| s.good).map(|s| s.took).collect();
         took.sort_by(f64::total_cmp);
         if took.len() < 5 { took.last().copied().unwrap_or(0.0).max(0.6) } else { took[took.len() * 9 / 10] }
     }
 
-    /// When a call is taken for lost: over three times the slow end (one call in a hundred takes longer where
-    /// times are exponential), down to twice where a tenth of calls get lost; 0.8 s at least for the network and
-    /// stalls of half a second. Twice as long for each call lost in a row, up to eight times, so that it follows
-    /// a route that slows down.
+    /// When a call is taken for lost: over three times the slow end (one in a hundred takes longer), down to
+    /// twice where a tenth of calls get lost; 0.8 s at least, as stalls last half a second. Twice as long for
+    /// each call lost in a row, up to eight times, so that it follows a route that slows down.
     fn patience(&self, r: &Route) -> f64 {
         let lost = self.lost.iter().filter(|l| **l).count() as f64 / 60.0;
         let times = (3.5 - 15.0 * lost).max(2.0);
@@ -650,8 +618,7 @@
         if free { (self.now + self.patience(r)).min(w.ttl_at) } else { w.ttl_at }
     }
 
-    /// All slots are taken and a webhook waits: the call that is longest past patience is called off, whatever
-    /// made it hang. It hurts where a slow answer would still have come.
+    /// All slots are taken and a webhook waits: the call longest past patience is called off.
     fn stuck(&self) -> Option<Pick> {
         if !self.may_call_off || self.busy < self.slots || self.held.is_empty() {
             return None;
@@ -687,46 +654,34 @@
         let Some(at) = r.calls.iter().position(|c| c.webhooks.contains(&id)) else { return };
         let call = &mut r.calls[at];
         let (sent_at, trial, idle) = (call.at, call.trial, call.idle);
-        // A call with several webhooks has one fate, but its outcomes come one by one: the first is judged at once
-        // (a wait that it tells must not be missed), the last frees the slot.
+        // Several webhooks in a call have one fate, told one by one: the first is judged, the last frees it.
         let first = !std::mem::replace(&mut call.judged, true);
         call.webhooks.remove(&id);
         if call.webhooks.is_empty() {
             r.calls.remove(at);
             self.busy -= 1;
-            if r.calls.is_empty() {
-                self.active.remove(&ep);
-            }
+            self.active.retain(|x| *x != ep || !r.calls.is_empty());
         }
         let m = self.meters.entry(scope.clone()).or_default();
-        if let Outcome::Full(wait) = outcome
-            && wait > 0.0
-        {
-            // 1 ms more, so that rounding cannot end it early; a batch tells it again with each outcome, later.
+        if let Outcome::Full(wait @ 0.001..) = outcome {
+            // 1 ms more, so that rounding cannot end it early; a batch tells it again with each outcome.
             m.wait_until = m.wait_until.max(now + wait + 0.001);
         }
         if !first {
             return;
         }
         r.used = now;
-        if !trial && r.bad_row == 0 {
-            // Only the first loss of a row counts: a hung endpoint is tried again and again after a pause.
-            let lost = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Reset);
-            self.stale.push_back((now, idle, lost));
-        }
-        // The last 100 calls in 20 s: enough to see one in ten among the idle ones, short enough to try again.
-        while self.stale.len() > 100 || self.stale.front().is_some_and(|s| s.0 < now - 20.0) {
-            self.stale.pop_front();
-        }
-        if let Some((left, limit)) = report
-            && limit > 0.0
-        {
+        // Only the first loss of a row counts: a hung endpoint is tried again and again after a pause.
+        let lost = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Reset);
+        self.stale.extend((!trial && r.bad_row == 0).then_some((now, idle, lost)));
+        // The last 100 calls in 20 s: enough to see one in ten idle ones, short enough to try again.
+        self.stale.retain(|s| s.0 >= now - 20.0);
+        self.stale.drain(..self.stale.len().saturating_sub(100));
+        if let Some((left, limit)) = report.filter(|r| r.1 > 0.0) {
             m.left = Some((left, now));
             m.limits.push_back((now, limit));
             // The median of the last five reports: they are noisy.
-            if m.limits.len() > 5 {
-                m.limits.pop_front();
-            }
+            m.limits.drain(..m.limits.len().saturating_sub(5));
         }
         let good = outcome == Outcome::Delivered;
         let incident = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
@@ -746,9 +701,8 @@
                 r.answered = now;
                 self.thrift.entry(r.kind.clone()).or_default().1 += 1;
                 if r.no_link_at.is_some_and(|t| now < t + 4.0) {
-                    // A connect failed just before: too short for an outage, so connections are scarce there, and
-                    // most likely at all of its kind: a sender with little traffic would learn too late by route.
-                    // A minute, the design's span for what is known of a route.
+                    // A connect failed just before: too short for an outage, so connections are scarce there,
+                    // most likely at all of its kind. A minute, the design's span for what is known.
                     self.thrift.insert(r.kind.clone(), (now + 60.0, 0));
                 }
                 // One or two unanswered calls before a good answer were lost; more would be an outage.
@@ -761,15 +715,11 @@
                 if now >= r.short_until {
                     r.window = (r.window + 1.0).min((slots * 0.33).max(1.0));
                 }
-                if r.open {
-                    r.open = false;
+                if std::mem::take(&mut r.open) {
                     r.samples.clear();
                 }
-                if r.outage {
-                    r.back.get_or_insert(now);
-                    if r.back.is_some_and(|b| now - b > self.cold.1) {
-                        (r.outage, r.back) = (false, None);
-                    }
+                if r.outage && now - *r.back.get_or_insert(now) > self.cold.1 {
+                    (r.outage, r.back) = (false, None);
                 }
             }
             Outcome::Failed => r.answered = now,
@@ -779,8 +729,8 @@
                 let scarce = self.thrift.get(&r.kind).is_some_and(|t| now < t.0);
                 self.thrift.entry(r.kind.clone()).or_default().1 = 0;
                 if others || (scarce && r.bad_row < 3) {
-                    // No connection, yet others answer: it takes no more of them. The calls that are out show how
-                    // many this sender has; 5 s, since idle ones elsewhere close after some seconds.
+                    // No connection, yet others answer: calls that are out show how many it gets; 5 s,
+                    // since idle ones elsewhere close after some seconds.
                     r.window = r.window.min(r.calls.len() as f64).max(1.0);
                     r.short_until = now + 5.0;
                     r.bad_row += 1;
@@ -788,39 +738,34 @@
                 }
                 r.window = (r.window / 2.0).max(1.0);
             }
-            // A call is called off only when it is taken for lost.
             Outcome::TimedOut | Outcome::Cancelled => r.window = (r.window / 2.0).max(1.0),
             Outcome::Reset => {}
         }
         r.samples.push_back(Sample { at: now, good, incident, took });
         // 30 samples or the design's 10 s, whichever is less.
-        while r.samples.len() > 30 || r.samples.front().is_some_and(|s| s.at < now - 10.0) {
-            r.samples.pop_front();
-        }
+        r.samples.retain(|s| s.at >= now - 10.0);
+        r.samples.drain(..r.samples.len().saturating_sub(30));
         if good {
             return;
         }
         r.bad_row += 1;
-        if r.bad_row == 1 && !r.outage {
-            r.bad_since = sent_at;
-        }
+        r.bad_since = if r.bad_row == 1 && !r.outage { sent_at } else { r.bad_since };
         let fine = r.samples.iter().filter(|s| s.good).count();
         let quiet = !r.samples.iter().any(|s| s.good && s.at >= sent_at);
-        // Two in a row with nothing good since the call went out, one error where nothing good is known at all (a
-        // sender of little traffic sees no more of an outage), or most of five: the circuit opens.
+        // Two in a row with nothing good since, one error where nothing good is known (senders
+        // of little traffic see no more of it), or most of five: the circuit opens.
         let alone = fine == 0 && outcome == Outcome::Failed;
         if ((r.bad_row >= 2 || alone) && quiet)
             || (r.samples.len() >= 5 && 2 * fine < r.samples.len())
             || trial
         {
-            r.cooling = if r.open { (r.cooling * 1.5).min(2.0) } else { 0.5 };
+            r.cooling = if std::mem::replace(&mut r.open, true) { (r.cooling * 1.5).min(2.0) } else { 0.5 };
             let (cooling, bad_row, since) = (r.cooling, r.bad_row, r.bad_since);
-            r.open = true;
             let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0).1;
             if let Some(r) = self.routes.get_mut(&ep) {
                 r.trial_at = now + cooling.max(turn) * (0.75 + 0.5 * jitter);
             }
-            // One lost call more, or a failed trial, and it is an outage; fewer can be chance where calls get lost.
+            // One lost call more, or a failed trial, and it is an outage; fewer can be chance.
             if trial || bad_row >= 3 {
                 self.mark_outage(&scope, sent_at);
             }
@@ -829,7 +774,6 @@
 
     // ---- the design: gates, score, argmax ----
 
-    /// The weighted score of a route.
     fn score(&self, r: &Route) -> f64 {
         let n = r.samples.len() as f64;
         let (mut done, mut fast, mut calm) = (1.0, 0.5, 1.0);
@@ -843,7 +787,6 @@
         0.5 * done + 0.3 * fast + 0.2 * calm
     }
 
-    /// Why a route may not take another call now.
     fn gated(&self, ep: &Name, r: &Route) -> bool {
         let joins =
             r.calls.last().is_some_and(|c| c.at == self.now && !c.trial && c.webhooks.len() < r.batch);
@@ -855,19 +798,18 @@
     fn routes_now(&self, dest: u64) -> Vec<&Name> {
         let Some(eps) = self.dests.get(&dest) else { return Vec::new() };
         let free = |ep: &&Name| self.routes.get(*ep).is_some_and(|r| !self.gated(ep, r));
-        let mut scored: Vec<(f64, u64, &Name)> =
-            eps.iter().filter(free).map(|ep| (self.score(&self.routes[ep]), self.tie(ep), ep)).collect();
+        let score = |ep: &Name| self.routes.get(ep).map_or(0.0, |r| self.score(r));
+        let mut scored: Vec<(f64, &Name)> = eps.iter().filter(free).map(|ep| (score(ep), ep)).collect();
         let top = scored.iter().map(|s| s.0).fold(f64::NEG_INFINITY, f64::max);
         let stays = self.current.get(&dest);
         // Within 0.05 of the top all tie: the current route stays, else the hash decides.
+        let rank =
+            |s: &(f64, &Name)| if s.0 >= top - 0.05 { (-9.0, Some(s.1) != stays) } else { (-s.0, true) };
         scored.sort_by(|a, b| {
-            let rank = |s: &(f64, u64, &Name)| {
-                if s.0 >= top - 0.05 { (0, Some(s.2) != stays, 0.0) } else { (1, true, -s.0) }
-            };
             let (x, y) = (rank(a), rank(b));
-            x.0.cmp(&y.0).then(x.1.cmp(&y.1)).then(x.2.total_cmp(&y.2)).then(a.1.cmp(&b.1))
+            x.0.total_cmp(&y.0).then(x.1.cmp(&y.1)).then_with(|| self.tie(a.1).cmp(&self.tie(b.1)))
         });
-        scored.into_iter().map(|s| s.2).collect()
+        scored.into_iter().map(|s| s.1).collect()
     }
 
     /// FNV-1a over the sender's number and the route's id.
@@ -882,9 +824,7 @@
         let (now, senders) = (self.now, self.senders);
         let Some((quota, _, seen)) = self.customers.get_mut(customer) else { return false };
         seen.push_back(now);
-        while seen.front().is_some_and(|t| *t < now - 2.0) {
-            seen.pop_front();
-        }
+        seen.retain(|t| *t >= now - 2.0);
         // Twice an even part of the share over two seconds: senders carry unequal traffic.
         seen.len() as f64 > (*quota * 2.0 * 2.0 / senders).max(4.0)
     }
@@ -907,8 +847,8 @@
         t.value * share * if w.over { part } else { 1.0 }
     }
 
-    /// Order of service, least first: those that can still make the target latency, dearest and soonest first;
-    /// then the late ones, the most valuable first.
+    /// Order of service, least first: those that can still make the target latency, dearest and soonest
+    /// first; then the late ones, the most valuable first.
     fn rank(&self, w: &Webhook, usual: f64) -> (u8, f64, f64) {
         let at = self.now + usual;
         (u8::from(at > w.target_at), -self.value(w, at), w.target_at)
@@ -926,11 +866,9 @@
                     continue;
                 }
                 let rank = self.rank(w, usual);
-                if best.as_ref().is_some_and(|b| b.0.partial_cmp(&rank).is_some_and(|o| o.is_le())) {
-                    continue;
-                }
+                let better = best.as_ref().is_none_or(|b| rank < b.0);
                 let fits = |ep: &&&Name| self.may_repeat(w, &self.routes[**ep].zone);
-                if let Some(ep) = routes.iter().find(fits) {
+                if let Some(ep) = routes.iter().filter(|_| better).find(fits) {
                     best = Some((rank, *id, (*ep).clone()));
                 }
             }
@@ -941,11 +879,9 @@
     /// An open circuit admits one trial call when its time has come: the webhook that loses least by it.
     fn trial_due(&self) -> Option<Pick> {
         for (dest, ids) in &self.held {
-            for ep in self.dests.get(dest).into_iter().flatten() {
-                let Some(r) = self.routes.get(ep) else { continue };
-                if !r.open || self.free_at(ep, r) > self.now {
-                    continue;
-                }
+            let eps =
+                self.dests.get(dest).into_iter().flatten().filter_map(|ep| Some((ep, self.routes.get(ep)?)));
+            for (ep, r) in eps.filter(|(ep, r)| r.open && self.free_at(ep, r) <= self.now) {
                 let able = |id: &&u64| {
                     let Some(w) = self.webhooks.get(id) else { return false };
                     self.now >= w.not_before.max(self.turn_at(**id, w)) && self.may_repeat(w, &r.zone)
@@ -968,9 +904,8 @@
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
         let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0).1;
-        // An even part, 1.3 of it where calls can spill to another route. Up to a call a second where there are two
-        // senders or more for each: chance decides then who has something to send, and an even part would hold up
-        // most of it for nothing.
+        // An even part, 1.3 of it where routes share a limit; up to a call a second where two senders or more
+        // share each: chance decides then who has something to send, and an even part holds it up.
         let rate = r.rate.max(0.001);
         let share = (if r.apart { 1.0 } else { 1.3 } / senders).max((senders / (2.0 * rate)).min(1.0) / rate);
         // Half a second: a connection in steady use is never idle for so long.
@@ -1001,27 +936,23 @@
             m.sent.drain(..m.sent.len().saturating_sub(400));
         }
         r.used = now;
-        if let Some(w) = self.webhooks.get_mut(&id) {
-            (w.out, w.tries) = (Some(ep.clone()), w.tries + 1);
-        }
+        self.webhooks.entry(id).and_modify(|w| (w.out, w.tries) = (Some(ep.clone()), w.tries + 1));
         self.unhold(dest, id);
         self.active.insert(ep.clone());
         self.linked.insert(ep.clone());
         self.current.insert(dest, ep);
     }
 
-    /// Idle connections keep other senders out where a kind of endpoint takes few. They are closed when nothing
-    /// waits for them, where a connect failed lately at a kind, which costs a handshake for each call while it
-    /// lasts; and for nothing where this sender's calls to the route come further apart than idle ones stay open.
+    /// Idle connections keep others out where endpoints take few. They close when nothing waits for them,
+    /// where a connect failed lately (a handshake a call), or calls come further apart than they stay open.
     fn spare_links(&self) -> Option<Pick> {
-        let scarce = |r: &Route| self.thrift.get(&r.kind).is_some_and(|t| self.now < t.0);
-        // 30 calls: enough connects to meet a scarcity.
-        let rare =
-            |r: &Route| self.thrift.get(&r.kind).is_none_or(|t| t.1 < 30) && r.call_gap > self.idle_for;
-        let spare = |r: &Route| r.links > r.calls.len() && (scarce(r) || rare(r));
-        let route =
-            |ep: &&Name| self.routes.get(*ep).is_some_and(|r| spare(r) && !self.held.contains_key(&r.dest));
-        self.linked.iter().find(route).map(|ep| Pick::Route(ep.clone()))
+        let spare = |r: &Route| {
+            let (until, good) = self.thrift.get(&r.kind).copied().unwrap_or((self.now, 0));
+            // 30 calls: enough connects to meet a scarcity.
+            let rare = good < 30 && r.call_gap > self.idle_for;
+            r.links > r.calls.len() && (self.now < until || rare) && !self.held.contains_key(&r.dest)
+        };
+        self.linked.iter().find(|ep| self.routes.get(*ep).is_some_and(spare)).cloned().map(Pick::Route)
     }
 
     fn close_links(&mut self, pick: Pick, out: &mut dyn Outbox) {
@@ -1029,9 +960,7 @@
         out.close_idle(&ep);
         if let Some(r) = self.routes.get_mut(&ep) {
             r.links = r.calls.len();
-            if r.links == 0 {
-                self.linked.remove(&ep);
-            }
+            self.linked.retain(|x| *x != ep || r.links > 0);
         }
     }
 
@@ -1053,24 +982,20 @@
     fn next_at(&self) -> f64 {
         let mut at = if self.ask && !self.watching { self.ask_at } else { f64::INFINITY };
         for (dest, ids) in &self.held {
-            let eps = self.dests.get(dest).into_iter().flatten();
-            let free: Vec<(f64, &Route)> =
-                eps.filter_map(|ep| self.routes.get(ep).map(|r| (self.free_at(ep, r), r))).collect();
+            let eps =
+                self.dests.get(dest).into_iter().flatten().filter_map(|ep| Some((ep, self.routes.get(ep)?)));
+            let later = eps.map(|(ep, r)| self.free_at(ep, r)).filter(|t| *t > self.now);
+            let route = later.fold(f64::INFINITY, f64::min);
             for (id, w) in ids.iter().filter_map(|id| Some((id, self.webhooks.get(id)?))) {
-                at = at.min(w.ttl_at - 0.005);
-                if let (Some((_, ran)), Some(t)) = (&w.ran, self.types.get(&w.evt))
-                    && t.effect == Effect::Tokened
-                {
-                    at = at.min(ran + t.known_for - 0.05);
-                }
-                let fits = free.iter().filter(|f| self.may_repeat(w, &f.1.zone));
-                let route = fits.map(|f| f.0).fold(f64::INFINITY, f64::min);
-                at = at.min(route.max(w.not_before).max(self.turn_at(*id, w)));
+                let own = w.not_before.max(self.turn_at(*id, w));
+                let ends = self.repeat_until(w).min(w.ttl_at - 0.005);
+                at = at.min(ends).min(if own > self.now { own } else { route });
             }
         }
         if self.busy >= self.slots && !self.held.is_empty() && self.may_call_off {
             at = self.patience_ends().map(|c| c.0).fold(at, f64::min);
         }
+        // 10 ms at least: small against every target latency, and few enough wakes to cost little.
         at.max(self.now + 0.01)
     }
 
@@ -1085,7 +1010,6 @@
 
     fn set_wake(&mut self, pick: Pick, out: &mut dyn Outbox) {
         let Pick::At(at) = pick else { return };
-        // 10 ms at least: small against every target latency, and few enough wakes to cost little.
         self.wake_at = Some(at);
         // Half a millisecond late, so that rounding cannot make it early.
         out.wake(at - self.now + 0.0005, 0);
