--- a/src/logic.rs
+++ b/src/logic.rs
@@ -545,9 +545,7 @@
         let since = m.full_since - wait - if m.full_row > 1 { 2.0 } else { 0.0 };
         let (r, m) = (&self.routes[ep], self.meters.get(scope));
         let (part, turn) = self.turn(r, m, since);
-        // A report that none of the allowance is left: a limit, not an outage.
-        let used_up = m.is_some_and(|m| m.left.is_some_and(|(left, at)| at == now && left < 0.05));
-        let turn = if used_up { 0.0 } else { turn / self.endpoints(r) };
+        let turn = turn / self.endpoints(r);
         let m = self.meters.entry(scope.clone()).or_default();
         // Without a told wait: 0.2 s, twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
@@ -558,7 +556,8 @@
         m.wait_until = m.wait_until.max(now + spread);
         // A fifth less of the limit, by half far above an even part, since refused calls use up most limits.
         m.share = (m.share * if m.share > 2.0 / senders { 0.5 } else { 0.8 }).max(0.5 / senders);
-        // Refused longer than any span of a limit: shut, which is an outage.
+        let used_up = m.left.is_some_and(|(left, at)| at == now && left < 0.05);
+        // Refused longer than any span of a limit, though no report says so: shut, which is an outage.
         if wait > 2.0 || (!used_up && m.full_row > 1 && now - m.full_since > 2.0) {
             let since = m.full_since;
             self.mark_outage(scope, now);
