--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,8 +70,6 @@
     ttl_at: f64,
     tries: u32,
     out: Option<Name>,
-    /// The route of the last attempt that came to nothing.
-    failed_at: Option<Name>,
     /// First attempt that may have run: the zone of its endpoint and when it was sent.
     ran: Option<(Name, f64)>,
     not_before: f64,
@@ -292,10 +290,9 @@
         self.now = now;
         self.end_call(id, ep, outcome, took, report);
         let Some(w) = self.webhooks.get_mut(&id) else { return };
-        if w.out.is_none() {
+        if w.out.take().is_none() {
             return;
         }
-        w.failed_at = w.out.take();
         let may_run =
             matches!(outcome, Outcome::Failed | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         if may_run && w.ran.is_none() {
@@ -870,11 +867,8 @@
                 }
                 let rank = self.rank(w, usual);
                 let better = best.as_ref().is_none_or(|b| rank < b.0);
-                let fits = |ep: &&&Name| better && self.may_repeat(w, &self.routes[**ep].zone);
-                // Another route than the one that just failed it, whatever ails that one for this webhook.
-                let other = |ep: &&&Name| Some(**ep) != w.failed_at.as_ref();
-                let found = routes.iter().filter(fits).find(other).or_else(|| routes.iter().find(fits));
-                if let Some(ep) = found {
+                let fits = |ep: &&&Name| self.may_repeat(w, &self.routes[**ep].zone);
+                if let Some(ep) = routes.iter().filter(|_| better).find(fits) {
                     best = Some((rank, *id, (*ep).clone()));
                 }
             }
