--- a/src/logic.rs
+++ b/src/logic.rs
@@ -761,7 +761,7 @@
         {
             r.cooling = if std::mem::replace(&mut r.open, true) { (r.cooling * 1.5).min(2.0) } else { 0.5 };
             let (cooling, bad_row, since) = (r.cooling, r.bad_row, r.bad_since);
-            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since).1;
+            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0).1;
             if let Some(r) = self.routes.get_mut(&ep) {
                 r.trial_at = now + cooling.max(turn) * (0.75 + 0.5 * jitter);
             }
@@ -903,7 +903,7 @@
         let (now, senders) = (self.now, self.senders);
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
-        let turn = self.turn(r, self.meters.get(&scope), r.bad_since).1;
+        let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0).1;
         // An even part, 1.3 of it where routes share a limit; up to a call a second where two senders or more
         // share each: chance decides then who has something to send, and an even part holds it up.
         let rate = r.rate.max(0.001);
