--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -285,3 +285,57 @@
         ),
     ]);
 }
+
+#[test]
+fn many_senders() {
+    let thin: Setting = (64, 50, 200, false);
+    check(&[
+        (
+            // An even part among 200 senders is a call in 15 s: most webhooks waited for nothing.
+            "a sender among many may make a call a second",
+            thin,
+            "0 list a:z:plain:10\n0 hand 1 idem\n0.1 end 1 a ok\n1.2 hand 2 idem",
+            &[Has(&["1.2 send 2 a"])],
+        ),
+        (
+            // Refused calls use up the limit: a call a second from each of 50 kept half of it from being used.
+            "refusals bring that down to an even part and less",
+            (64, 50, 50, false),
+            "0 list a:z:plain:30\n0 hand 1 idem\n0.1 end 1 a full\n1.9 pass\n2 end 1 a ok\n4 hand 2 idem\n4.1 end 2 a full\n5.9 pass\n6 end 2 a ok\n8 hand 3 idem\n8.1 end 3 a full\n10.5 pass\n10.6 end 3 a ok\n13 hand 4 idem\n13.1 end 4 a ok\n13.2 hand 5 idem\n14.4 pass",
+            &[Has(&["13.0 send 4 a"]), Sends(13.1, 14.4, 0..=0)],
+        ),
+        (
+            // 65 senders with one webhook each all went again a second after an error and pushed it over.
+            "after an error where nothing good is known the next call waits for its turn among all",
+            thin,
+            "0 list a:z:plain:10\n0 hand 1 idem\n0.1 end 1 a error\n6 pass",
+            &[Sends(0.05, 6.0, 0..=0)],
+        ),
+        (
+            "one sender alone goes again at once",
+            ONE,
+            "0 list a:z:plain:10\n0 hand 1 idem\n0.1 end 1 a error\n2 pass",
+            &[Sends(0.05, 2.0, 1..=1)],
+        ),
+        (
+            // 30 webhooks came in a second for a small destination that was shut; all were tried again in step.
+            "a second refusal in a row makes a long pause where many senders may wait",
+            thin,
+            "0 list a:z:plain:6\n0 hand 1 idem\n0.1 end 1 a full\n2.1 pass\n2.2 end 1 a full\n7.9 pass",
+            &[Sends(0.0, 2.1, 2..=2), Sends(2.2, 7.9, 0..=0)],
+        ),
+        (
+            // Idle connections of 50 senders kept each other out of small endpoints.
+            "a connection that would only stand idle is closed",
+            thin,
+            "0 list a:z:plain:10\n9 hand 1 idem\n9.1 end 1 a ok\n10.5 hand 2 idem\n10.6 end 2 a ok",
+            &[Has(&["9.1 close a"]), Not("10.6 close")],
+        ),
+        (
+            "scarce connections at one endpoint count for its kind",
+            thin,
+            "0 list a:z:plain:10\n0 hand 1 idem\n1 end 1 a noconn\n1.2 pass\n1.4 end 1 a ok\n1.5 changes a:z:plain:10:gone b:z:plain:10 c:z:bulk:10\n1.5 changes c:z:bulk:10:gone\n2.5 hand 2 idem\n2.6 end 2 b ok\n3.7 hand 3 idem\n3.8 end 3 b ok",
+            &[Has(&["2.6 close b", "3.8 close b"])],
+        ),
+    ]);
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -7,6 +7,7 @@
     now: f64,
     acts: Vec<String>,
     wakes: Vec<(f64, u64)>,
+    asked: usize,
 }
 
 impl Outbox for Desk {
@@ -24,6 +25,7 @@
     }
     fn wake(&mut self, after: f64, handle: u64) {
         self.wakes.push((self.now + after, handle));
+        self.asked += 1;
     }
     fn watch(&mut self, on: bool) {
         self.acts.push(format!("{:.1} watch {on}", self.now));
@@ -57,6 +59,7 @@
     s.set_list(ask, 9.0);
     s.set_cold(0.2, 10.0, 2.0);
     s.set_key_rest(0.3);
+    s.set_idle(5.0);
     s
 }
 
@@ -120,5 +123,9 @@
             }
         }
     }
+    // Wakes every 10 ms for whatever was held once took all the CPU of 300 senders.
+    if desk.asked > 100 {
+        desk.acts.push(format!("asked for {} wakes", desk.asked));
+    }
     desk.acts
 }
