Trials spread as wide as pauses; a clump counts after a first refusal where nothing is known

Cause: 60 webhooks of one clump had their trials ten seconds later together, just when the destination returned. It should hold against any outage met by many senders at once; it may hold a webhook longer after a stray refusal.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -541,18 +541,18 @@
         let m = self.meters.entry(scope.clone()).or_default();
         m.full_since = if m.full_row == 0 { now } else { m.full_since };
         m.full_row += 1;
-        // Refused twice in a row it may be shut; two seconds' worth more may wait, since clumps come.
-        let since = m.full_since - wait - if m.full_row > 1 { 2.0 } else { 0.0 };
-        let (r, m) = (&self.routes[ep], self.meters.get(scope));
-        let (part, turn) = self.turn(r, m, since);
-        let turn = turn / self.endpoints(r);
+        let r = &self.routes[ep];
+        // Nothing good is known, or refused twice: it may be shut, and a clump of two seconds may wait.
+        let shut = m.full_row > 1 || !r.samples.iter().any(|s| s.good);
+        let (since, m) = (m.full_since - wait - if shut { 2.0 } else { 0.0 }, self.meters.get(scope));
+        let ((part, turn), eps) = (self.turn(r, m, since), self.endpoints(r));
         let m = self.meters.entry(scope.clone()).or_default();
         // Without a told wait: 0.2 s, twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
         // After a told wait, where all senders have something to send, even parts keep them apart.
         let even = part >= 1.0 && m.share * senders <= 1.5;
-        let after = wait + if even { 0.0 } else { turn * jitter };
-        let spread = if wait > 0.0 { after } else { own.max(turn * (0.2 + 1.6 * jitter)) };
+        let after = wait + if even { 0.0 } else { turn / eps * jitter };
+        let spread = if wait > 0.0 { after } else { own.max(turn / eps * (0.2 + 1.6 * jitter)) };
         m.wait_until = m.wait_until.max(now + spread);
         // A fifth less of the limit, by half far above an even part, since refused calls use up most limits.
         m.share = (m.share * if m.share > 2.0 / senders { 0.5 } else { 0.8 }).max(0.5 / senders);
@@ -763,7 +763,7 @@
             let (cooling, bad_row, since) = (r.cooling, r.bad_row, r.bad_since);
             let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0).1;
             if let Some(r) = self.routes.get_mut(&ep) {
-                r.trial_at = now + cooling.max(turn) * (0.75 + 0.5 * jitter);
+                r.trial_at = now + (cooling * (0.75 + 0.5 * jitter)).max(turn * (0.2 + 1.6 * jitter));
             }
             // One lost call more, or a failed trial, and it is an outage; fewer can be chance.
             if trial || bad_row >= 3 {
