--- a/src/logic.rs
+++ b/src/logic.rs
@@ -522,12 +522,12 @@
     }
 
     /// What part of all senders may want a route back from an outage, or still in one: no more than webhooks
-    /// that came since; and the seconds until each of them has had a call within the cold budget.
-    fn turn(&self, r: &Route, m: Option<&Meter>, since: f64) -> (f64, f64) {
+    /// that came since for `eps` endpoints; and the seconds until each has had a call within the cold budget.
+    fn turn(&self, r: &Route, m: Option<&Meter>, since: f64, eps: f64) -> (f64, f64) {
         // Twice what the rate lets expect: few calls from many senders bunch by chance.
         let came = 2.0 * r.rate * (self.now - since).max(0.0) / self.endpoints(r) + 1.0;
-        let part = (came / self.senders).min(1.0);
-        (part, part / self.cold_rate(r, m))
+        let part = (came * eps / self.senders).min(1.0);
+        (part, part / self.cold_rate(r, m) / eps)
     }
 
     /// Endpoints of one destination share its rate and capacity.
@@ -545,14 +545,14 @@
         // Nothing good is known, or refused twice: it may be shut, and a clump of two seconds may wait.
         let shut = m.full_row > 1 || !r.samples.iter().any(|s| s.good);
         let (since, m) = (m.full_since - wait - if shut { 2.0 } else { 0.0 }, self.meters.get(scope));
-        let ((part, turn), eps) = (self.turn(r, m, since), self.endpoints(r));
+        let (part, turn) = self.turn(r, m, since, self.endpoints(r));
         let m = self.meters.entry(scope.clone()).or_default();
         // Without a told wait: 0.2 s, twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
         // After a told wait, where all senders have something to send, even parts keep them apart.
         let even = part >= 1.0 && m.share * senders <= 1.5;
-        let after = wait + if even { 0.0 } else { turn / eps * jitter };
-        let spread = if wait > 0.0 { after } else { own.max(turn / eps * (0.2 + 1.6 * jitter)) };
+        let after = wait + if even { 0.0 } else { turn * jitter };
+        let spread = if wait > 0.0 { after } else { own.max(turn * (0.2 + 1.6 * jitter)) };
         m.wait_until = m.wait_until.max(now + spread);
         // A fifth less of the limit, by half far above an even part, since refused calls use up most limits.
         m.share = (m.share * if m.share > 2.0 / senders { 0.5 } else { 0.8 }).max(0.5 / senders);
@@ -761,7 +761,7 @@
         {
             r.cooling = if std::mem::replace(&mut r.open, true) { (r.cooling * 1.5).min(2.0) } else { 0.5 };
             let (cooling, bad_row, since) = (r.cooling, r.bad_row, r.bad_since);
-            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0).1;
+            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0, 1.0).1;
             if let Some(r) = self.routes.get_mut(&ep) {
                 r.trial_at = now + (cooling * (0.75 + 0.5 * jitter)).max(turn * (0.2 + 1.6 * jitter));
             }
@@ -903,7 +903,7 @@
         let (now, senders) = (self.now, self.senders);
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
-        let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0).1;
+        let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0, 1.0).1;
         // An even part, 1.3 of it where routes share a limit; up to a call a second where two senders or more
         // share each: chance decides then who has something to send, and an even part holds it up.
         let rate = r.rate.max(0.001);
