After a told wait longer than a span of a limit senders come back spread over a turn

Cause: 160 senders told the same end of an outage all called a busy route within half a second of it. It may hold a webhook a second or two longer in small fleets after an outage.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -549,8 +549,8 @@
         let m = self.meters.entry(scope.clone()).or_default();
         // Without a told wait: 0.2 s, twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
-        // After a told wait, where all senders have something to send, even parts keep them apart.
-        let even = part >= 1.0 && m.share * senders <= 1.5;
+        // After a told wait, as long as a span at most, even parts keep senders apart that all have webhooks.
+        let even = wait <= 2.0 && part >= 1.0 && m.share * senders <= 1.5;
         let after = wait + if even { 0.0 } else { turn * jitter };
         let spread = if wait > 0.0 { after } else { own.max(turn * (0.2 + 1.6 * jitter)) };
         m.wait_until = m.wait_until.max(now + spread);
