--- /dev/null
+++ b/crates/sender/src/bridge.rs
@@ -0,0 +1,342 @@
+//! Between the peers and the decision module: what they tell becomes inputs, what the module asks for becomes
+//! records in the journal and actions for the driver. It decides nothing.
+
+use crate::clients::{HandIn, Reply};
+use crate::config::Config;
+use crate::endpoints::{self, Call, Ending, Load};
+use crate::journal::{End, Journal, Webhook};
+use crate::list::{Health, News};
+use crate::notices::Notices;
+use scalebarrow::{Entry, ListMode, Outbox, Outcome, Sender};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use tracing::{error, info, warn};
+
+/// What the driver is to do.
+#[derive(Debug, PartialEq)]
+pub enum Action {
+    CallOff(u64),
+    CloseIdle(String),
+    Wake(f64),
+    Watch(bool),
+}
+
+/// What the module asks for while it takes one input.
+#[derive(Default)]
+struct Asked {
+    attempts: Vec<(u64, String, f64)>,
+    ends: Vec<(u64, End)>,
+    actions: Vec<Action>,
+}
+
+impl Outbox for Asked {
+    fn attempt(&mut self, webhook: u64, ep: &str, stop_at: f64) {
+        self.attempts.push((webhook, ep.to_owned(), stop_at));
+    }
+    // Never two attempts for a webhook at once: the number alone tells which is meant.
+    fn call_off(&mut self, webhook: u64, _hop: u32) {
+        self.actions.push(Action::CallOff(webhook));
+    }
+    fn reject(&mut self, webhook: u64, come_back: f64) {
+        self.ends.push((webhook, End::Rejected(come_back)));
+    }
+    fn dead_letter(&mut self, webhook: u64) {
+        self.ends.push((webhook, End::DeadLettered));
+    }
+    fn wake(&mut self, after: f64, _handle: u64) {
+        self.actions.push(Action::Wake(after));
+    }
+    fn watch(&mut self, on: bool) {
+        self.actions.push(Action::Watch(on));
+    }
+    fn close_idle(&mut self, ep: &str) {
+        self.actions.push(Action::CloseIdle(ep.to_owned()));
+    }
+    fn log(&mut self, text: &str) {
+        info!(text, "decision module");
+    }
+}
+
+/// Where an endpoint is reached, and what a call to it may hold.
+struct Place {
+    dial: SocketAddr,
+    zone: String,
+    batch: usize,
+}
+
+pub struct Bridge {
+    sender: Sender,
+    asked: Asked,
+    journal: Journal,
+    pub notices: Notices,
+    places: BTreeMap<String, Place>,
+    numbers: BTreeMap<String, u64>,
+    next: u64,
+    event_types: BTreeSet<String>,
+    reports: bool,
+    config: Config,
+    /// The last time given to the module; its clock must not run backwards.
+    now: f64,
+}
+
+impl Bridge {
+    /// The module as the journal left it: what is still open goes back to it, what is owed is due again.
+    pub fn open(config: Config, journal: Journal, now: f64) -> Self {
+        let (asked, notices) = (Asked::default(), Notices::new());
+        let (places, numbers, next) = (BTreeMap::new(), BTreeMap::new(), journal.next_number());
+        let (sender, reports, event_types) = (config.open(now), config.reports(), config.event_types());
+        let mut bridge = Bridge {
+            sender,
+            asked,
+            journal,
+            notices,
+            places,
+            numbers,
+            next,
+            event_types,
+            reports,
+            config,
+            now,
+        };
+        bridge.journal.all_owed().into_iter().for_each(|number| bridge.notices.push(number));
+        let known = std::mem::take(&mut bridge.config.known.hosts);
+        bridge.list(now, &News { seq: 0, whole: true, hosts: known }, true);
+        for (number, w, tries) in bridge.journal.open_webhooks() {
+            bridge.numbers.insert(w.id.clone(), number);
+            let ran = tries.ran.as_ref().or(tries.out.as_ref()).map(|(zone, at)| (zone.as_str(), *at));
+            let (key, customer) = (w.order_key.as_deref(), w.customer.as_deref());
+            let left = w.ends_at - now;
+            let out = &mut bridge.asked;
+            bridge.sender.resumed(
+                now,
+                number,
+                &w.event_type,
+                w.dest,
+                key,
+                customer,
+                left,
+                tries.count,
+                ran,
+                out,
+            );
+        }
+        bridge.settle();
+        bridge
+    }
+
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    pub fn event_types(&self) -> &BTreeSet<String> {
+        &self.event_types
+    }
+
+    pub fn dial(&self, ep: &str) -> Option<SocketAddr> {
+        self.places.get(ep).map(|p| p.dial)
+    }
+
+    /// Final answers that the last input brought, other than for a webhook just handed in.
+    fn settle(&mut self) {
+        for (number, end) in std::mem::take(&mut self.asked.ends) {
+            self.close(number, end);
+        }
+    }
+
+    fn close(&mut self, number: u64, end: End) {
+        let Some(webhook) = self.journal.open_webhook(number) else { return };
+        self.numbers.remove(&webhook.id);
+        match self.journal.end(number, end) {
+            Ok(()) if end == End::Over => {}
+            Ok(()) => self.notices.push(number),
+            Err(e) => error!(code = "journal-write", %e, "a final answer could not be written"),
+        }
+    }
+
+    /// A webhook is handed in. The number is there where it was taken on just now.
+    pub fn hand_in(&mut self, now: f64, from: HandIn, body: Vec<u8>) -> (Reply, Option<u64>) {
+        self.now = now;
+        // Handed in once more because its connection closed under it: it is taken on already.
+        if self.numbers.contains_key(&from.id) {
+            return (Reply::Taken, None);
+        }
+        let (ends_at, left) = (now + from.left, from.left);
+        let HandIn { id, event_type, dest, order_key, customer, token, .. } = from;
+        let webhook = Webhook { id, event_type, dest, order_key, customer, token, ends_at, body };
+        if !self.journal.has_room(&webhook) {
+            return (Reply::NoRoom, None);
+        }
+        let number = self.next;
+        self.next += 1;
+        let (key, customer) = (webhook.order_key.as_deref(), webhook.customer.as_deref());
+        self.sender.webhook(now, number, &webhook.event_type, dest, key, customer, left, &mut self.asked);
+        let at_once = self.asked.ends.iter().find(|e| e.0 == number).map(|e| e.1);
+        let id = webhook.id.clone();
+        let taken = at_once.is_none().then(|| self.journal.take(number, webhook));
+        self.settle();
+        match (at_once, taken) {
+            (Some(End::Rejected(come_back)), _) => (Reply::Rejected(come_back), None),
+            (Some(_), _) | (None, None) => (Reply::Status(500), None),
+            (None, Some(Ok(()))) => {
+                self.numbers.insert(id, number);
+                (Reply::Taken, Some(number))
+            }
+            (None, Some(Err(e))) => {
+                error!(code = "journal-write", %e, "a webhook could not be taken on");
+                self.sender.withdrawn(now, number, &mut self.asked);
+                self.settle();
+                (Reply::NoRoom, None)
+            }
+        }
+    }
+
+    /// The client went away before it heard that its webhook is taken on.
+    pub fn withdrawn(&mut self, now: f64, number: u64) {
+        self.now = now;
+        self.close(number, End::Over);
+        self.sender.withdrawn(now, number, &mut self.asked);
+        self.settle();
+    }
+
+    pub fn list(&mut self, now: f64, news: &News, remembered: bool) {
+        self.now = now;
+        let mut entries = Vec::new();
+        for h in &news.hosts {
+            let (dial, zone, batch) = (h.dial, h.site.clone(), self.config.batch(&h.kind));
+            let old = self.places.insert(h.host.clone(), Place { dial, zone, batch });
+            if old.is_some_and(|p| p.dial != dial) {
+                self.asked.actions.push(Action::CloseIdle(h.host.clone()));
+            }
+            let ready = h.health == Health::Serving;
+            let (ep, zone, kind) = (h.host.as_str(), h.site.as_str(), h.kind.as_str());
+            entries.push(Entry { ep, zone, kind, dest: h.dest, ready, rate: h.rate });
+        }
+        let mode = match (remembered, news.whole) {
+            (true, _) => ListMode::Remembered,
+            (false, true) => ListMode::Whole,
+            (false, false) => ListMode::Changes,
+        };
+        self.sender.list(now, mode, &entries, &mut self.asked);
+        self.settle();
+    }
+
+    /// The list could not be had.
+    pub fn no_list(&mut self, now: f64) {
+        self.now = now;
+        self.sender.list(now, ListMode::Refused, &[], &mut self.asked);
+        self.settle();
+    }
+
+    pub fn woken(&mut self, now: f64) {
+        self.now = now;
+        self.sender.woken(now, 0, &mut self.asked);
+        self.settle();
+    }
+
+    /// The process will end; what is not back by then may have run.
+    pub fn closing(&mut self, now: f64, by: f64) {
+        self.now = now;
+        self.sender.closing(now, by, &mut self.asked);
+        self.settle();
+    }
+
+    /// A call ended, with one ending for each of its webhooks.
+    pub fn ended(&mut self, now: f64, call: &Call, endings: &[Ending], report: Option<(f64, f64)>) {
+        self.now = now;
+        let report = report.filter(|_| self.reports);
+        for ((number, _), ending) in call.webhooks.iter().zip(endings) {
+            let may_run = matches!(
+                ending.outcome,
+                Outcome::Failed | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled
+            );
+            if ending.over {
+                self.close(*number, End::Over);
+            } else if let Err(e) = self.journal.back(*number, may_run) {
+                warn!(code = "journal-write", %e, "an outcome could not be written: it counts as one that may have run");
+            }
+            let over = self.journal.open_webhook(*number).is_none();
+            let took = now - call.decided_at;
+            let out = &mut self.asked;
+            self.sender.outcome(now, *number, &call.ep, ending.outcome, took, over, report, out);
+            self.settle();
+        }
+    }
+
+    /// The calls that the inputs of one turn led to: what goes to one endpoint travels together, as far as
+    /// its kind allows. The second list holds those that cannot be made.
+    pub fn calls(&mut self, now: f64) -> (Vec<Call>, Vec<Call>) {
+        let mut calls: Vec<Call> = Vec::new();
+        let mut not_made = Vec::new();
+        for (number, ep, stop_at) in std::mem::take(&mut self.asked.attempts) {
+            let (bytes, written) = (Vec::new(), false);
+            let id = self.journal.open_webhook(number).map(|w| w.id.clone());
+            let batch = self.places.get(&ep).map_or(1, |p| p.batch);
+            let joins = calls.iter_mut().rev().find(|c| c.ep == ep).filter(|c| c.webhooks.len() < batch);
+            match (id, joins) {
+                (Some(id), Some(call)) => {
+                    call.webhooks.push((number, id));
+                    call.stop_at = call.stop_at.min(stop_at);
+                }
+                (id, _) => {
+                    let list = if id.is_some() { &mut calls } else { &mut not_made };
+                    let webhooks = vec![(number, id.unwrap_or_default())];
+                    list.push(Call { ep, webhooks, decided_at: now, stop_at, bytes, written });
+                }
+            }
+        }
+        for mut call in std::mem::take(&mut calls) {
+            let webhooks = call.webhooks.iter().filter_map(|(number, _)| self.journal.open_webhook(*number));
+            let loads: Vec<Load> =
+                webhooks.map(|w| Load { id: &w.id, token: w.token.as_deref(), body: &w.body }).collect();
+            let host = self.places.get(&call.ep).map(|p| p.dial.to_string()).unwrap_or_default();
+            match endpoints::encode(&loads, &host, call.stop_at - now) {
+                Some(bytes) => calls.push(Call { bytes, ..call }),
+                None if call.webhooks.len() > 1 => {
+                    // Together they are too long for a body: the first goes, the others count as not sent.
+                    let rest = call.webhooks.split_off(1);
+                    let (ep, bytes) = (call.ep.clone(), Vec::new());
+                    not_made.push(Call { ep, webhooks: rest, bytes, ..call });
+                    if let Some(bytes) = endpoints::encode(&loads[..1], &host, call.stop_at - now) {
+                        calls.push(Call { bytes, ..call });
+                    }
+                }
+                None => not_made.push(call),
+            }
+        }
+        (calls, not_made)
+    }
+
+    /// A call is about to be written. False where that cannot be put down: then it must not go out.
+    pub fn going_out(&mut self, now: f64, call: &Call) -> bool {
+        let zone = self.places.get(&call.ep).map_or("", |p| p.zone.as_str());
+        for (number, _) in &call.webhooks {
+            if let Err(e) = self.journal.out(*number, zone, now) {
+                error!(code = "journal-write", %e, "an attempt could not be written down and is not made");
+                return false;
+            }
+        }
+        true
+    }
+
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.asked.actions)
+    }
+
+    pub fn notice(&mut self, host: &SocketAddr) -> Vec<u8> {
+        let Bridge { notices, journal, .. } = self;
+        notices.call(host, |number| journal.owed(number))
+    }
+
+    pub fn told(&mut self, numbers: &[u64]) {
+        for number in numbers {
+            if let Err(e) = self.journal.told(*number) {
+                warn!(code = "journal-write", %e, "an acknowledgement could not be written; a notice may repeat");
+            }
+        }
+    }
+
+    /// Nothing is held and nothing is owed.
+    pub fn is_idle(&self) -> bool {
+        self.numbers.is_empty() && self.notices.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/sender/src/clients.rs
@@ -0,0 +1,144 @@
+//! Those who hand in webhooks: what they ask, and what they are answered.
+
+use crate::http::{Decoder, Fields, Head, MOST_BODY, Start, decode_time, encode_answer};
+use std::collections::BTreeSet;
+
+/// Ids, keys and names of customers: longer ones are no ids.
+const MOST_ID: usize = 256;
+
+/// A webhook as it is handed in, less its body.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HandIn {
+    pub id: String,
+    pub event_type: String,
+    pub dest: u64,
+    /// Webhooks with the same order key go one at a time, where the event type asks for it.
+    pub order_key: Option<String>,
+    pub customer: Option<String>,
+    /// The idempotency key.
+    pub token: Option<String>,
+    /// Seconds in which it may still be delivered.
+    pub left: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Method {
+    Get,
+    Post,
+    Other,
+}
+
+/// A request, less its body. `hand_in` is there when all its lines are.
+#[derive(Debug)]
+pub struct Asked {
+    method: Method,
+    path: String,
+    hand_in: Option<HandIn>,
+}
+
+impl Head for Asked {
+    fn decode(start: &Start, fields: &Fields) -> Self {
+        let Start::Request { method, target } = *start else {
+            return Asked { method: Method::Other, path: String::new(), hand_in: None };
+        };
+        let method = match method {
+            "GET" => Method::Get,
+            "POST" => Method::Post,
+            _ => Method::Other,
+        };
+        let path = target.split('?').next().unwrap_or("").trim_start_matches('/');
+        // The event type is the first part of the path.
+        let path = path.split('/').next().unwrap_or("").to_owned();
+        let hand_in = decode_hand_in(&path, fields);
+        Asked { method, path, hand_in }
+    }
+}
+
+fn decode_hand_in(event_type: &str, fields: &Fields) -> Option<HandIn> {
+    // An id goes into lines of other messages: without blanks or signs that would end it there.
+    let id = |name| match fields.get(name) {
+        Some(v) if !v.is_empty() && v.len() <= MOST_ID && v.bytes().all(|b| b.is_ascii_graphic()) => {
+            Some(Some(v.to_owned()))
+        }
+        Some(_) => None,
+        None => Some(None),
+    };
+    let mut extras = fields.get("X-Addressing")?.split([';', ',', ' ']);
+    let dest = extras.find_map(|e| e.trim().strip_prefix("dest="))?.parse().ok()?;
+    Some(HandIn {
+        id: id("Req-Id")??,
+        event_type: event_type.to_owned(),
+        dest,
+        order_key: id("Req-Key")?,
+        customer: fields.get("Req-Owner").map(str::to_owned),
+        token: id("Idempotency-Key")?,
+        left: decode_time(fields.get("Req-Deadline")?)?,
+    })
+}
+
+/// What a client gets to hear.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Reply {
+    Ready,
+    Taken,
+    /// Handing in again does no harm, after so many seconds (0: nothing said).
+    Rejected(f64),
+    /// No room, or no longer taking anything: harmless as well.
+    NoRoom,
+    Status(u16),
+}
+
+/// What is awaited on a client's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    Idle,
+    Reading,
+    Writing,
+    /// The last answer is out; the client has to close.
+    Lingering,
+}
+
+/// One client's connection.
+#[derive(Debug)]
+pub struct Client {
+    pub decoder: Decoder<Asked>,
+    pub stage: Stage,
+    /// No request has come yet.
+    pub fresh: bool,
+    /// Nothing more is read once the answer is out; what still comes is passed over.
+    pub last: bool,
+    /// The webhook whose 202 is not yet written as a whole.
+    pub unheard: Option<u64>,
+}
+
+impl Client {
+    pub fn new() -> Self {
+        let decoder = Decoder::requests(MOST_BODY);
+        Client { decoder, stage: Stage::Idle, fresh: true, last: false, unheard: None }
+    }
+}
+
+/// Where a request leads: to a webhook, or straight to an answer.
+pub fn route(asked: Asked, event_types: &BTreeSet<String>) -> Result<HandIn, Reply> {
+    match (asked.method, asked.path.as_str()) {
+        (Method::Get, "ready") => Err(Reply::Ready),
+        (_, "ready") => Err(Reply::Status(405)),
+        (_, path) if !event_types.contains(path) => Err(Reply::Status(404)),
+        (Method::Post, _) => asked.hand_in.ok_or(Reply::Status(400)),
+        _ => Err(Reply::Status(405)),
+    }
+}
+
+pub fn encode(out: &mut Vec<u8>, reply: Reply, close: bool) {
+    match reply {
+        Reply::Ready => encode_answer(out, 200, &[], close),
+        Reply::Taken => encode_answer(out, 202, &[], close),
+        Reply::Rejected(after) if after > 0.0 => {
+            encode_answer(out, 429, &[("Retry-After", format!("{after:.3}"))], close);
+        }
+        Reply::Rejected(_) => encode_answer(out, 429, &[], close),
+        Reply::NoRoom => encode_answer(out, 503, &[], close),
+        Reply::Status(405) => encode_answer(out, 405, &[("Allow", "GET, POST".into())], close),
+        Reply::Status(status) => encode_answer(out, status, &[], close),
+    }
+}
--- /dev/null
+++ b/crates/sender/src/config.rs
@@ -0,0 +1,261 @@
+//! The configuration that the platform hands a sender, checked, and handed on to the decision module.
+
+use crate::list::News;
+use scalebarrow::{Effect, Sender};
+use serde::{Deserialize, Deserializer, de::Error};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, Deserialize)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    #[serde(deserialize_with = "hex")]
+    pub seed: u64,
+    pub limits: Limits,
+    pub known: News,
+    pub settings: Settings,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Limits {
+    pub sockets: usize,
+    pub disk_mb: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Settings {
+    caps: Caps,
+    classes: Vec<EventType>,
+    family_info: Info,
+    instances: u64,
+    me: u64,
+    #[serde(default)]
+    membership_mode: Option<Membership>,
+    #[serde(default)]
+    models: Vec<String>,
+    #[serde(default)]
+    orgs: Vec<Customer>,
+    #[serde(default)]
+    over_share_worth: Option<f64>,
+    #[serde(default)]
+    report: Report,
+    rules: Rules,
+    #[serde(default)]
+    weights: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Caps {
+    cancelling: bool,
+    conn_idle_ms: Option<f64>,
+    connect_timeout_ms: Option<f64>,
+    max_attempts: u32,
+    max_retry_after_ms: Option<f64>,
+    open_cap: usize,
+    #[serde(default)]
+    retry_after: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct EventType {
+    name: String,
+    aim_ms: f64,
+    deadline_ms: f64,
+    worth: Option<f64>,
+    late_value: Option<f64>,
+    effect: WireEffect,
+    group: Option<String>,
+    repeat_window_ms: Option<f64>,
+    #[serde(default)]
+    fifo_by_key: bool,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireEffect {
+    Free,
+    Guarded,
+    SingleShot,
+}
+
+#[derive(Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Membership {
+    Push,
+    Ask,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Info {
+    #[serde(default)]
+    bundle_max: Vec<usize>,
+    decay: Option<String>,
+    #[serde(default)]
+    routes_apart: Vec<bool>,
+    slots: usize,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Customer {
+    name: String,
+    quota_per_s: Option<f64>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Report {
+    #[serde(default)]
+    how: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Rules {
+    ask_within_ms: Option<f64>,
+    cold_from: Option<f64>,
+    cold_ms: Option<f64>,
+    fall_multiple: Option<f64>,
+    key_rest_ms: Option<f64>,
+}
+
+fn hex<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    let text = String::deserialize(from)?;
+    u64::from_str_radix(&text, 16).map_err(|_| D::Error::custom("must be up to 16 hex digits"))
+}
+
+/// What stands for a time or rate without bound: its square is still a number.
+const UNBOUND: f64 = 1e150;
+
+fn seconds(ms: Option<f64>, or: f64) -> f64 {
+    ms.map_or(or, |ms| ms / 1e3)
+}
+
+impl Config {
+    pub fn read(path: &Path) -> Result<Config, String> {
+        let bytes = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Self::decode(&bytes)
+    }
+
+    pub fn decode(bytes: &[u8]) -> Result<Config, String> {
+        let mut from = serde_json::Deserializer::from_slice(bytes);
+        let config: Config = serde_path_to_error::deserialize(&mut from)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+        from.end().map_err(|e| format!("after the end: {e}"))?;
+        config.check().map_err(|(field, why)| format!("{field}: {why}"))?;
+        Ok(config)
+    }
+
+    fn check(&self) -> Result<(), (String, &'static str)> {
+        let s = &self.settings;
+        let at = |field: &str, ok: bool, why| if ok { Ok(()) } else { Err((field.to_owned(), why)) };
+        at("limits.sockets", self.limits.sockets >= 64, "must be 64 at least")?;
+        at("limits.disk_mb", self.limits.disk_mb >= 0.25, "must be 0.25 at least")?;
+        at("settings.instances", s.instances > 0, "must be above zero")?;
+        at("settings.classes", !s.classes.is_empty(), "names no event type")?;
+        at("settings.family-info.slots", s.family_info.slots > 0, "must be above zero")?;
+        at("settings.caps.open-cap", s.caps.open_cap > 0, "must be above zero")?;
+        at("settings.caps.max-attempts", s.caps.max_attempts > 0, "must be above zero")?;
+        let field = |i: usize, name: &str| format!("settings.classes[{i}].{name}");
+        for (i, c) in s.classes.iter().enumerate() {
+            at(&field(i, "deadline-ms"), c.deadline_ms > 0.0, "must be above zero")?;
+            let name = !c.name.is_empty() && !c.name.contains('/') && c.name != "ready";
+            at(&field(i, "name"), name, "cannot be the first part of a path")?;
+            for (name, value) in [
+                ("aim-ms", Some(c.aim_ms)),
+                ("worth", c.worth),
+                ("late-value", c.late_value),
+                ("repeat-window-ms", c.repeat_window_ms),
+            ] {
+                at(&field(i, name), value.is_none_or(|v| v >= 0.0), "is below zero")?;
+            }
+        }
+        for (name, value) in [
+            ("caps.conn-idle-ms", s.caps.conn_idle_ms),
+            ("caps.connect-timeout-ms", s.caps.connect_timeout_ms),
+            ("caps.max-retry-after-ms", s.caps.max_retry_after_ms),
+            ("over-share-worth", s.over_share_worth),
+            ("rules.ask-within-ms", s.rules.ask_within_ms),
+            ("rules.cold-from", s.rules.cold_from),
+            ("rules.cold-ms", s.rules.cold_ms),
+            ("rules.fall-multiple", s.rules.fall_multiple),
+            ("rules.key-rest-ms", s.rules.key_rest_ms),
+        ] {
+            at(&format!("settings.{name}"), value.is_none_or(|v| v >= 0.0), "is below zero")?;
+        }
+        Ok(())
+    }
+
+    /// The module with all its settings, at clock time `now`.
+    pub fn open(&self, now: f64) -> Sender {
+        let s = &self.settings;
+        let mut sender = Sender::open(now, self.seed, s.me, s.instances);
+        let halves = s.family_info.decay.as_deref() == Some("by_half");
+        for c in &s.classes {
+            let (target, ttl) = (c.aim_ms / 1e3, c.deadline_ms / 1e3);
+            let (value, late) = (c.worth.unwrap_or(1.0), c.late_value.unwrap_or(0.0));
+            sender.set_event_type(&c.name, target, ttl, value, late, halves);
+            let effect = match c.effect {
+                WireEffect::Free => Effect::Idempotent,
+                WireEffect::Guarded => Effect::Tokened,
+                WireEffect::SingleShot => Effect::AtMostOnce,
+            };
+            let by_all = c.group.as_deref() == Some("all");
+            sender.set_effect(&c.name, effect, seconds(c.repeat_window_ms, 0.0), by_all, c.fifo_by_key);
+        }
+        for (i, kind) in s.models.iter().enumerate() {
+            let batch = s.family_info.bundle_max.get(i).copied().unwrap_or(1);
+            let apart = s.family_info.routes_apart.get(i).copied().unwrap_or(false);
+            sender.set_kind(kind, batch, apart);
+        }
+        for customer in &s.orgs {
+            let quota = customer.quota_per_s.unwrap_or(UNBOUND);
+            sender.set_customer(&customer.name, quota, s.over_share_worth.unwrap_or(1.0));
+        }
+        sender.set_limits(s.family_info.slots, s.caps.open_cap, s.caps.max_attempts, s.caps.cancelling);
+        if s.caps.retry_after {
+            sender.set_come_back(seconds(s.caps.max_retry_after_ms, 0.0));
+        }
+        sender.set_idle(seconds(s.caps.conn_idle_ms, UNBOUND));
+        sender.set_list(self.asks(), seconds(s.rules.ask_within_ms, 10.0));
+        // What the platform says of rough weights: up to half too high.
+        sender.set_rate_error(if s.weights.as_deref() == Some("rough") { 1.5 } else { 1.0 });
+        let (from, warm) = (s.rules.cold_from.unwrap_or(1.0), seconds(s.rules.cold_ms, 0.0));
+        sender.set_cold(from, warm, s.rules.fall_multiple.unwrap_or(1e9));
+        sender.set_key_rest(seconds(s.rules.key_rest_ms, 0.0));
+        sender
+    }
+
+    /// The list of endpoints comes only when it is asked for.
+    pub fn asks(&self) -> bool {
+        self.settings.membership_mode == Some(Membership::Ask)
+    }
+
+    /// Answers of endpoints carry reports.
+    pub fn reports(&self) -> bool {
+        self.settings.report.how == "answers"
+    }
+
+    pub fn event_types(&self) -> BTreeSet<String> {
+        self.settings.classes.iter().map(|c| c.name.clone()).collect()
+    }
+
+    /// Webhooks in one call at most, for a kind of destination.
+    pub fn batch(&self, kind: &str) -> usize {
+        let at = self.settings.models.iter().position(|m| m == kind);
+        at.and_then(|i| self.settings.family_info.bundle_max.get(i)).map_or(1, |b| (*b).max(1))
+    }
+
+    /// How long an unused connection to an endpoint stays open, and how long one may take to come up.
+    pub fn connection_times(&self) -> (f64, f64) {
+        let caps = &self.settings.caps;
+        // Without a setting, as long as common systems wait for an answer to the first packet.
+        (seconds(caps.conn_idle_ms, UNBOUND), seconds(caps.connect_timeout_ms, 10.0))
+    }
+}
--- /dev/null
+++ b/crates/sender/src/driver.rs
@@ -0,0 +1,912 @@
+//! The event loop: sockets, timers, signals. It reads and writes for the peers' state machines and carries
+//! what they say to the bridge and back.
+
+use crate::bridge::{Action, Bridge};
+use crate::clients::{self, Client, Reply, Stage};
+use crate::config::Config;
+use crate::endpoints::{self, Call, Ending, Line, Pool};
+use crate::journal::Journal;
+use crate::list::List;
+use crate::notices;
+use mio::net::{TcpListener, TcpStream, UnixStream};
+use mio::{Events, Interest, Poll, Token};
+use scalebarrow::Outcome;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::path::Path;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tracing::{info, warn};
+
+const LISTENER: Token = Token(0);
+const SIGNALS: Token = Token(1);
+const FIRST_LINK: usize = 2;
+
+/// Descriptors for the poll, the listener, signals, journal files, standard streams, list and notices.
+const OWN_DESCRIPTORS: usize = 20;
+/// Bytes read from one connection before others have their turn.
+const READ_STEP: usize = 64 * 1024;
+const STEPS: usize = 4;
+/// Requests answered, or connections accepted, before others have their turn.
+const MOST_AT_ONCE: usize = 32;
+
+/// A client has so long for one request, or to take its answer.
+const SLOW_CLIENT: f64 = 10.0;
+/// A client's connection that is not in use; common servers wait a minute or so.
+const IDLE_CLIENT: f64 = 75.0;
+/// After the last answer, what still comes is passed over for so long, so that no reset overtakes it.
+const LINGER: f64 = 1.0;
+/// An endpoint's idle connection is given up so long before the endpoint closes it.
+const IDLE_MARGIN: f64 = 0.25;
+/// Between two tries to reach the platform's list.
+const LIST_PAUSE: f64 = 0.1;
+/// From SIGTERM to the end: the platform kills after 3.7 s.
+const CLOSING: f64 = 3.3;
+/// New connections keep coming for up to 0.4 s after SIGTERM.
+const STILL_COMING: f64 = 0.6;
+
+/// Why a connection ended, as log lines name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reason {
+    Answered,
+    BadMessage,
+    CalledOff,
+    Closing,
+    Idle,
+    NoRoom,
+    NotUp,
+    PeerClosed,
+    PeerReset,
+    Silent,
+    Stale,
+    Unasked,
+}
+
+impl Reason {
+    fn code(self) -> &'static str {
+        match self {
+            Reason::Answered => "answered",
+            Reason::BadMessage => "bad-message",
+            Reason::CalledOff => "called-off",
+            Reason::Closing => "closing",
+            Reason::Idle => "idle",
+            Reason::NoRoom => "no-room",
+            Reason::NotUp => "not-up",
+            Reason::PeerClosed => "peer-closed",
+            Reason::PeerReset => "peer-reset",
+            Reason::Silent => "silent",
+            Reason::Stale => "stale",
+            Reason::Unasked => "unasked",
+        }
+    }
+}
+
+enum Peer {
+    Client(Client),
+    Endpoint(Line),
+    List,
+    Notices,
+}
+
+impl Peer {
+    fn name(&self) -> &'static str {
+        match self {
+            Peer::Client(_) => "client",
+            Peer::Endpoint(_) => "endpoint",
+            Peer::List => "list",
+            Peer::Notices => "notices",
+        }
+    }
+}
+
+struct Link {
+    stream: TcpStream,
+    addr: SocketAddr,
+    peer: Peer,
+    /// False while the connection is coming up.
+    up: bool,
+    out: Vec<u8>,
+    sent: usize,
+    /// When something must have happened.
+    due: f64,
+}
+
+/// What a read brought.
+enum Got {
+    Bytes(usize),
+    Nothing,
+    End(Reason),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Link(usize),
+    Wake,
+    List,
+    Notices,
+    Exit,
+}
+
+/// Unix time that never runs backwards.
+struct Clock(f64, Instant);
+
+impl Clock {
+    fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock(unix.as_secs_f64(), Instant::now())
+    }
+
+    fn now(&self) -> f64 {
+        self.0 + self.1.elapsed().as_secs_f64()
+    }
+}
+
+struct Driver {
+    poll: Poll,
+    listener: TcpListener,
+    signals: UnixStream,
+    clock: Clock,
+    /// The time of this turn.
+    now: f64,
+    timers: BinaryHeap<Reverse<(u64, Due)>>,
+    links: BTreeMap<usize, Link>,
+    next_link: usize,
+    clients: usize,
+    lines: usize,
+    most_clients: usize,
+    most_lines: usize,
+    bridge: Bridge,
+    pool: Pool,
+    /// The connection that carries a webhook's call.
+    calls: BTreeMap<u64, usize>,
+    /// Calls that ended before they began; told in the next turn.
+    failed: Vec<(Call, Outcome)>,
+    discovery: SocketAddr,
+    list: List,
+    list_link: Option<usize>,
+    list_wanted: bool,
+    notice_link: Option<usize>,
+    notice_at: f64,
+    /// Connections with more to read, and whether more may wait to be accepted.
+    again: BTreeSet<usize>,
+    accept_again: bool,
+    /// When the process ends, once it was asked to.
+    closing: Option<f64>,
+    scratch: Vec<u8>,
+}
+
+/// Serves until SIGTERM.
+pub fn serve(config: Config, state: &Path) -> io::Result<()> {
+    let clock = Clock::start();
+    let now = clock.now();
+    let most = (config.limits.disk_mb * 1e6) as usize;
+    let (journal, dropped) = Journal::open(state, most)?;
+    if dropped > 0 {
+        warn!(
+            code = "journal-torn",
+            dropped, "bytes of an unfinished record at the journal's end are dropped"
+        );
+    }
+    let (listen, discovery, sockets) = (config.listen, config.discovery, config.limits.sockets);
+    let name = config.name.clone();
+    let list_wanted = !config.asks();
+    let bridge = Bridge::open(config, journal, now);
+    // All that was taken on is back in the module: only now can a client reach this sender.
+    let mut listener = TcpListener::bind(listen)?;
+    let (signal_end, mut signals) = UnixStream::pair()?;
+    let signal_end = std::os::fd::OwnedFd::from(signal_end);
+    signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, signal_end.try_clone()?)?;
+    signal_hook::low_level::pipe::register(signal_hook::consts::SIGINT, signal_end)?;
+    let poll = Poll::new()?;
+    poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+    poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+    info!(name, %listen, "serving");
+    let most_lines = (sockets - OWN_DESCRIPTORS) / 2;
+    let mut driver = Driver {
+        poll,
+        listener,
+        signals,
+        clock,
+        now,
+        timers: BinaryHeap::new(),
+        links: BTreeMap::new(),
+        next_link: FIRST_LINK,
+        clients: 0,
+        lines: 0,
+        most_clients: sockets - OWN_DESCRIPTORS - most_lines,
+        most_lines,
+        bridge,
+        pool: Pool::default(),
+        calls: BTreeMap::new(),
+        failed: Vec::new(),
+        discovery,
+        list: List::new(),
+        list_link: None,
+        list_wanted,
+        notice_link: None,
+        notice_at: 0.0,
+        again: BTreeSet::new(),
+        accept_again: false,
+        closing: None,
+        scratch: vec![0; READ_STEP],
+    };
+    driver.run()
+}
+
+fn micros(at: f64) -> u64 {
+    (at * 1e6).ceil() as u64
+}
+
+/// The connection is up; false where it is still on its way.
+fn came_up(stream: &TcpStream) -> io::Result<bool> {
+    if let Some(e) = stream.take_error()? {
+        return Err(e);
+    }
+    match stream.peer_addr() {
+        Ok(_) => Ok(true),
+        Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
+        Err(e) => Err(e),
+    }
+}
+
+/// Nothing came and the other side has not ended.
+fn is_quiet(stream: &TcpStream) -> bool {
+    matches!(stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
+/// The other side has ended its sending, or the connection is broken.
+fn is_gone(stream: &TcpStream) -> bool {
+    match stream.peek(&mut [0]) {
+        Ok(count) => count == 0,
+        Err(e) => e.kind() != ErrorKind::WouldBlock,
+    }
+}
+
+impl Driver {
+    fn run(&mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(256);
+        self.end_turn();
+        loop {
+            let more = !self.again.is_empty() || !self.failed.is_empty() || self.accept_again;
+            let now = micros(self.clock.now());
+            let next = self.timers.peek().map(|Reverse((at, _))| at.saturating_sub(now));
+            let wait = if more { Some(0) } else { next };
+            match self.poll.poll(&mut events, wait.map(Duration::from_micros)) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                result => result?,
+            }
+            self.now = self.clock.now();
+            for (call, outcome) in std::mem::take(&mut self.failed) {
+                let endings = vec![Ending::from(outcome); call.webhooks.len()];
+                self.bridge.ended(self.now, &call, &endings, None);
+            }
+            let mut ready = std::mem::take(&mut self.again);
+            let mut accept = std::mem::take(&mut self.accept_again);
+            for event in &events {
+                match event.token() {
+                    LISTENER => accept = true,
+                    SIGNALS => self.signalled(),
+                    Token(link) => _ = ready.insert(link),
+                }
+            }
+            for link in ready {
+                self.ready(link);
+            }
+            if accept {
+                self.accept();
+            }
+            if self.timers_due() {
+                return Ok(());
+            }
+            self.end_turn();
+        }
+    }
+
+    // ---- timers and signals ----
+
+    fn at(&mut self, at: f64, due: Due) {
+        if at.is_finite() {
+            self.timers.push(Reverse((micros(at), due)));
+        }
+    }
+
+    fn set_due(&mut self, link: usize, at: f64) {
+        if let Some(l) = self.links.get_mut(&link) {
+            l.due = at;
+            self.at(at, Due::Link(link));
+        }
+    }
+
+    /// True when the process has to end.
+    fn timers_due(&mut self) -> bool {
+        while let Some(Reverse((at, due))) = self.timers.peek().copied()
+            && at as f64 <= self.now * 1e6
+        {
+            self.timers.pop();
+            match due {
+                Due::Link(link) => {
+                    if self.links.get(&link).is_some_and(|l| l.due <= self.now) {
+                        self.overdue(link);
+                    }
+                }
+                Due::Wake => self.bridge.woken(self.now),
+                Due::List => self.list_wanted = true,
+                // Looked at when the turn ends.
+                Due::Notices => {}
+                Due::Exit => {
+                    let over = self.closing.is_some_and(|at| self.now >= at);
+                    if over || (self.clients == 0 && self.bridge.is_idle()) {
+                        return self.exit();
+                    }
+                    self.at(self.now + 0.1, Due::Exit);
+                }
+            }
+        }
+        false
+    }
+
+    fn exit(&mut self) -> bool {
+        let links: Vec<usize> = self.links.keys().copied().collect();
+        for link in links {
+            self.close(link, Reason::Closing);
+        }
+        info!(code = "ended", "asked to end");
+        true
+    }
+
+    fn signalled(&mut self) {
+        while matches!(self.signals.read(&mut [0; 64]), Ok(count) if count > 0) {}
+        if self.closing.is_some() {
+            return;
+        }
+        let end = self.now + CLOSING;
+        self.closing = Some(end);
+        info!(code = "closing", "no further use of connections");
+        self.bridge.closing(self.now, end);
+        self.at(self.now + STILL_COMING, Due::Exit);
+        let clients = self.links.iter_mut().filter_map(|(link, l)| match &mut l.peer {
+            Peer::Client(client) => {
+                client.fresh = false;
+                Some(*link)
+            }
+            _ => None,
+        });
+        // A request that has come already is answered before its connection closes.
+        self.again.extend(clients);
+    }
+
+    /// What was to happen on a connection by now has not.
+    fn overdue(&mut self, link: usize) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        match &mut l.peer {
+            Peer::Client(client) => match client.stage {
+                Stage::Reading => {
+                    clients::encode(&mut l.out, Reply::Status(408), true);
+                    client.last = true;
+                    self.client_ready(link);
+                }
+                Stage::Idle => self.close(link, Reason::Idle),
+                Stage::Writing | Stage::Lingering => self.close(link, Reason::Silent),
+            },
+            Peer::Endpoint(line) if line.call.is_some() => {
+                let reason = if l.up { Reason::Silent } else { Reason::NotUp };
+                self.cut(link, Outcome::TimedOut, reason);
+            }
+            Peer::Endpoint(_) => self.close(link, Reason::Idle),
+            Peer::List => self.list_broke(Reason::Silent),
+            Peer::Notices => self.notices_broke(Reason::Silent),
+        }
+    }
+
+    // ---- connections ----
+
+    fn add(&mut self, mut stream: TcpStream, addr: SocketAddr, peer: Peer, up: bool) -> io::Result<usize> {
+        let link = self.next_link;
+        self.next_link += 1;
+        let both = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, Token(link), both)?;
+        // Without it a small message may wait for the answer to the one before; not vital.
+        let _ = stream.set_nodelay(true);
+        match &peer {
+            Peer::Client(_) => self.clients += 1,
+            Peer::Endpoint(_) => self.lines += 1,
+            _ => {}
+        }
+        let (out, sent, due) = (Vec::new(), 0, f64::INFINITY);
+        self.links.insert(link, Link { stream, addr, peer, up, out, sent, due });
+        Ok(link)
+    }
+
+    fn connect(&mut self, addr: SocketAddr, peer: Peer) -> io::Result<usize> {
+        let stream = TcpStream::connect(addr)?;
+        self.add(stream, addr, peer, false)
+    }
+
+    fn close(&mut self, link: usize, reason: Reason) {
+        let Some(mut l) = self.links.remove(&link) else { return };
+        let _ = self.poll.registry().deregister(&mut l.stream);
+        self.again.remove(&link);
+        info!(peer = l.peer.name(), code = reason.code(), addr = %l.addr, link, "connection ended");
+        match l.peer {
+            Peer::Client(client) => {
+                self.clients -= 1;
+                self.accept_again = true;
+                if let Some(number) = client.unheard {
+                    self.bridge.withdrawn(self.now, number);
+                }
+            }
+            Peer::Endpoint(line) => {
+                self.lines -= 1;
+                self.pool.remove(&line.ep, link);
+                for (number, _) in line.call.iter().flat_map(|c| &c.webhooks) {
+                    self.calls.remove(number);
+                }
+            }
+            Peer::List => self.list_link = None,
+            Peer::Notices => self.notice_link = None,
+        }
+    }
+
+    fn ready(&mut self, link: usize) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        if !l.up {
+            match came_up(&l.stream) {
+                Ok(true) => l.up = true,
+                Ok(false) => return,
+                Err(_) => return self.broke(link, Reason::NotUp),
+            }
+            if matches!(l.peer, Peer::Endpoint(_)) {
+                return self.send_call(link);
+            }
+        }
+        match l.peer {
+            Peer::Client(_) => self.client_ready(link),
+            Peer::Endpoint(_) => self.endpoint_ready(link),
+            Peer::List => self.list_ready(link),
+            Peer::Notices => self.notices_ready(link),
+        }
+    }
+
+    fn broke(&mut self, link: usize, reason: Reason) {
+        match self.links.get(&link).map(|l| &l.peer) {
+            Some(Peer::Client(_)) => self.close(link, reason),
+            Some(Peer::Endpoint(_)) => self.cut(link, Outcome::Reset, reason),
+            Some(Peer::List) => self.list_broke(reason),
+            Some(Peer::Notices) => self.notices_broke(reason),
+            None => {}
+        }
+    }
+
+    /// Writes what is to be written. False where the connection is broken.
+    fn flush(&mut self, link: usize) -> bool {
+        let Some(l) = self.links.get_mut(&link) else { return false };
+        while l.sent < l.out.len() {
+            match l.stream.write(&l.out[l.sent..]) {
+                Ok(0) => return false,
+                Ok(count) => l.sent += count,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+                Err(_) => return false,
+            }
+        }
+        l.out.clear();
+        l.sent = 0;
+        match &mut l.peer {
+            Peer::Client(client) => client.unheard = None,
+            Peer::Endpoint(Line { call: Some(call), .. }) => call.written = true,
+            _ => {}
+        }
+        true
+    }
+
+    fn read(&mut self, link: usize) -> Got {
+        let Some(l) = self.links.get_mut(&link) else { return Got::Nothing };
+        loop {
+            return match l.stream.read(&mut self.scratch) {
+                Ok(0) => Got::End(Reason::PeerClosed),
+                Ok(count) => Got::Bytes(count),
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => Got::Nothing,
+                Err(_) => Got::End(Reason::PeerReset),
+            };
+        }
+    }
+
+    // ---- clients ----
+
+    fn accept(&mut self) {
+        for _ in 0..MOST_AT_ONCE {
+            if self.clients >= self.most_clients && !self.close_idle_client() {
+                // Those that wait are accepted when a connection ends.
+                return;
+            }
+            match self.listener.accept() {
+                Ok((stream, addr)) => {
+                    if let Ok(link) = self.add(stream, addr, Peer::Client(Client::new()), true) {
+                        self.set_due(link, self.now + IDLE_CLIENT);
+                        self.client_ready(link);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // The one that waited is gone, or descriptors are short for the moment.
+                Err(_) => {}
+            }
+        }
+        self.accept_again = true;
+    }
+
+    /// Makes room by a client's connection that is between requests, the one idle longest.
+    fn close_idle_client(&mut self) -> bool {
+        let idle = self.links.iter().filter(|(_, l)| {
+            matches!(&l.peer, Peer::Client(c) if c.stage == Stage::Idle) && is_quiet(&l.stream)
+        });
+        let oldest = idle.min_by(|a, b| a.1.due.total_cmp(&b.1.due)).map(|(link, _)| *link);
+        oldest.inspect(|link| self.close(*link, Reason::NoRoom)).is_some()
+    }
+
+    fn client_ready(&mut self, link: usize) {
+        for _ in 0..MOST_AT_ONCE {
+            if !self.flush(link) {
+                return self.close(link, Reason::PeerReset);
+            }
+            let Some(l) = self.links.get_mut(&link) else { return };
+            let Peer::Client(client) = &mut l.peer else { return };
+            if !l.out.is_empty() {
+                return self.set_stage(link, Stage::Writing);
+            }
+            if client.last {
+                if client.stage != Stage::Lingering {
+                    // Where this fails the connection is gone, which the next read tells.
+                    let _ = l.stream.shutdown(Shutdown::Write);
+                    self.set_stage(link, Stage::Lingering);
+                }
+                match self.read(link) {
+                    Got::Bytes(_) => continue,
+                    Got::Nothing => return,
+                    Got::End(_) => return self.close(link, Reason::Answered),
+                }
+            }
+            match client.decoder.message() {
+                Ok(Some(message)) => {
+                    let routed = clients::route(message.head, self.bridge.event_types());
+                    let close = !message.keep || self.closing.is_some();
+                    let (reply, number) = match routed {
+                        // It did not wait for the answer: what it handed in is not taken on.
+                        Ok(_) if is_gone(&l.stream) => (Reply::NoRoom, None),
+                        Ok(hand_in) => self.bridge.hand_in(self.now, hand_in, message.body),
+                        Err(reply) => (reply, None),
+                    };
+                    (client.last, client.fresh, client.unheard) = (close, false, number);
+                    clients::encode(&mut l.out, reply, close);
+                    client.stage = Stage::Writing;
+                    continue;
+                }
+                Ok(None) => {}
+                Err(fault) => {
+                    clients::encode(&mut l.out, Reply::Status(fault.status()), true);
+                    client.last = true;
+                    continue;
+                }
+            }
+            if client.decoder.waits_for_leave() {
+                l.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                continue;
+            }
+            let (clear, fresh) = (client.decoder.is_clear(), client.fresh);
+            match self.read(link) {
+                Got::Bytes(count) => {
+                    if let Some(Link { peer: Peer::Client(client), .. }) = self.links.get_mut(&link) {
+                        client.decoder.feed(&self.scratch[..count]);
+                    }
+                }
+                Got::Nothing if clear && self.closing.is_some() && !fresh => {
+                    return self.close(link, Reason::Closing);
+                }
+                Got::Nothing => {
+                    return self.set_stage(link, if clear { Stage::Idle } else { Stage::Reading });
+                }
+                Got::End(reason) => return self.close(link, reason),
+            }
+        }
+        self.again.insert(link);
+    }
+
+    fn set_stage(&mut self, link: usize, stage: Stage) {
+        let Some(Link { peer: Peer::Client(client), .. }) = self.links.get_mut(&link) else { return };
+        let old = std::mem::replace(&mut client.stage, stage);
+        let within = match stage {
+            Stage::Idle => IDLE_CLIENT,
+            Stage::Reading | Stage::Writing => SLOW_CLIENT,
+            Stage::Lingering => LINGER,
+        };
+        // A request may not take longer because it comes in small pieces.
+        if old != stage {
+            self.set_due(link, self.now + within);
+        }
+    }
+
+    // ---- endpoints ----
+
+    fn start(&mut self, call: Call) {
+        while let Some(link) = self.pool.take(&call.ep) {
+            let Some(l) = self.links.get_mut(&link) else { continue };
+            // Closed by the other side, or about to be: what is written to it would be lost.
+            if l.due <= self.now || !is_quiet(&l.stream) {
+                self.close(link, Reason::Stale);
+                continue;
+            }
+            if let Peer::Endpoint(line) = &mut l.peer {
+                line.call = Some(call);
+                return self.send_call(link);
+            }
+        }
+        let idle_needed = self.lines >= self.most_lines;
+        if let Some(link) = self.pool.oldest().filter(|_| idle_needed) {
+            self.close(link, Reason::NoRoom);
+        }
+        if self.lines >= self.most_lines {
+            return self.failed.push((call, Outcome::Moot(true)));
+        }
+        let Some(dial) = self.bridge.dial(&call.ep) else {
+            return self.failed.push((call, Outcome::ConnectFailed));
+        };
+        let (_, connects_in) = self.bridge.config().connection_times();
+        let by = call.stop_at.min(self.now + connects_in);
+        match self.connect(dial, Peer::Endpoint(Line::new(call.ep.clone()))) {
+            Ok(link) => {
+                self.calls.extend(call.webhooks.iter().map(|w| (w.0, link)));
+                if let Some(Link { peer: Peer::Endpoint(line), .. }) = self.links.get_mut(&link) {
+                    line.call = Some(call);
+                }
+                self.set_due(link, by);
+            }
+            Err(_) => self.failed.push((call, Outcome::ConnectFailed)),
+        }
+    }
+
+    /// The connection is up and free: the call goes out.
+    fn send_call(&mut self, link: usize) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        let Peer::Endpoint(line) = &mut l.peer else { return };
+        let Some(call) = &mut line.call else { return };
+        if !self.bridge.going_out(self.now, call) {
+            let call = line.call.take();
+            self.failed.extend(call.map(|c| (c, Outcome::Moot(true))));
+            return self.close(link, Reason::NoRoom);
+        }
+        l.out = std::mem::take(&mut call.bytes);
+        self.calls.extend(call.webhooks.iter().map(|w| (w.0, link)));
+        let stop_at = call.stop_at;
+        self.set_due(link, stop_at);
+        self.endpoint_ready(link);
+    }
+
+    fn endpoint_ready(&mut self, link: usize) {
+        let mut end = if self.flush(link) { None } else { Some(Reason::PeerReset) };
+        for step in 0.. {
+            if step == STEPS {
+                self.again.insert(link);
+                break;
+            }
+            match self.read(link) {
+                Got::Bytes(count) => {
+                    let Some(Link { peer: Peer::Endpoint(line), .. }) = self.links.get_mut(&link) else {
+                        return;
+                    };
+                    line.decoder.feed(&self.scratch[..count]);
+                }
+                Got::Nothing => break,
+                Got::End(reason) => {
+                    end = Some(reason);
+                    break;
+                }
+            }
+        }
+        let Some(l) = self.links.get_mut(&link) else { return };
+        let Peer::Endpoint(line) = &mut l.peer else { return };
+        match line.decoder.message() {
+            Ok(Some(answer)) => {
+                let Some(call) = line.call.take() else { return self.close(link, Reason::Unasked) };
+                let stays = end.is_none() && answer.keep && call.written && line.decoder.is_clear();
+                let ids: Vec<&str> = call.webhooks.iter().map(|w| w.1.as_str()).collect();
+                let endings = endpoints::endings(&answer, &ids);
+                let garbage = endings.is_none();
+                let endings = endings.unwrap_or_else(|| vec![Outcome::Reset.into(); ids.len()]);
+                self.call_over(&call, &endings, answer.head.report);
+                if !stays || garbage {
+                    return self.close(link, if garbage { Reason::BadMessage } else { Reason::Answered });
+                }
+                let ep = line_ep(&self.links, link);
+                self.pool.put(&ep, link);
+                let (idle, _) = self.bridge.config().connection_times();
+                self.set_due(link, self.now + (idle - IDLE_MARGIN).max(idle / 2.0));
+            }
+            Ok(None) => {
+                if let Some(reason) = end {
+                    self.cut(link, Outcome::Reset, reason);
+                } else if line.call.is_none() && !line.decoder.is_clear() {
+                    self.close(link, Reason::Unasked);
+                }
+            }
+            Err(_) => self.cut(link, Outcome::Reset, Reason::BadMessage),
+        }
+    }
+
+    /// Ends a connection with the call on it, if there is one.
+    fn cut(&mut self, link: usize, else_as: Outcome, reason: Reason) {
+        if let Some(Link { peer: Peer::Endpoint(line), .. }) = self.links.get_mut(&link)
+            && let Some(call) = line.call.take()
+        {
+            let (endings, report) = line.cut_short(&call, else_as);
+            self.call_over(&call, &endings, report);
+        }
+        self.close(link, reason);
+    }
+
+    fn call_over(&mut self, call: &Call, endings: &[Ending], report: Option<(f64, f64)>) {
+        for (number, _) in &call.webhooks {
+            self.calls.remove(number);
+        }
+        self.bridge.ended(self.now, call, endings, report);
+    }
+
+    // ---- list ----
+
+    fn open_list(&mut self) {
+        match self.connect(self.discovery, Peer::List) {
+            Ok(link) => {
+                self.list_link = Some(link);
+                self.call_list(link);
+            }
+            Err(_) => self.list_broke(Reason::NotUp),
+        }
+    }
+
+    fn call_list(&mut self, link: usize) {
+        let (call, patience) = self.list.call(&self.discovery);
+        if let Some(l) = self.links.get_mut(&link) {
+            (l.out, l.sent) = (call, 0);
+        }
+        self.set_due(link, self.now + patience);
+    }
+
+    fn list_ready(&mut self, link: usize) {
+        if !self.flush(link) {
+            return self.list_broke(Reason::PeerReset);
+        }
+        for _ in 0..STEPS {
+            let count = match self.read(link) {
+                Got::Bytes(count) => count,
+                Got::Nothing => return,
+                Got::End(reason) => return self.list_broke(reason),
+            };
+            match self.list.feed(&self.scratch[..count]) {
+                Ok(None) => {}
+                Ok(Some((news, keep))) => {
+                    self.bridge.list(self.now, &news, false);
+                    if !keep {
+                        self.close(link, Reason::Answered);
+                        return self.open_list();
+                    }
+                    // At once: a watch stands only as long as the next call follows soon.
+                    self.call_list(link);
+                    if !self.flush(link) {
+                        return self.list_broke(Reason::PeerReset);
+                    }
+                }
+                Err(_) => return self.list_broke(Reason::BadMessage),
+            }
+        }
+        self.again.insert(link);
+    }
+
+    fn list_broke(&mut self, reason: Reason) {
+        if let Some(link) = self.list_link {
+            self.close(link, reason);
+        }
+        if self.list.broken() {
+            return self.open_list();
+        }
+        self.list_wanted = false;
+        if self.bridge.config().asks() {
+            self.bridge.no_list(self.now);
+        } else {
+            self.at(self.now + LIST_PAUSE, Due::List);
+        }
+    }
+
+    // ---- notices ----
+
+    fn send_notice(&mut self) {
+        if let Some(link) = self.notice_link
+            && self.links.get(&link).is_some_and(|l| !is_quiet(&l.stream))
+        {
+            self.close(link, Reason::Stale);
+        }
+        let link = match self.notice_link {
+            Some(link) => Ok(link),
+            None => self.connect(self.discovery, Peer::Notices),
+        };
+        let Ok(link) = link else { return self.notices_broke(Reason::NotUp) };
+        self.notice_link = Some(link);
+        let call = self.bridge.notice(&self.discovery);
+        if let Some(l) = self.links.get_mut(&link) {
+            (l.out, l.sent) = (call, 0);
+            let up = l.up;
+            self.set_due(link, self.now + notices::PATIENCE);
+            if up {
+                self.notices_ready(link);
+            }
+        }
+    }
+
+    fn notices_ready(&mut self, link: usize) {
+        if !self.flush(link) {
+            return self.notices_broke(Reason::PeerReset);
+        }
+        match self.read(link) {
+            Got::Nothing => {}
+            Got::End(reason) => self.notices_broke(reason),
+            Got::Bytes(count) => match self.bridge.notices.feed(&self.scratch[..count]) {
+                Ok(None) => _ = self.again.insert(link),
+                Ok(Some((told, keep))) => {
+                    self.bridge.told(&told);
+                    self.set_due(link, f64::INFINITY);
+                    if !keep {
+                        self.close(link, Reason::Answered);
+                    }
+                }
+                Err(_) => self.notices_broke(Reason::BadMessage),
+            },
+        }
+    }
+
+    fn notices_broke(&mut self, reason: Reason) {
+        if let Some(link) = self.notice_link {
+            self.close(link, reason);
+        }
+        self.bridge.notices.broken();
+        self.notice_at = self.now + notices::PAUSE;
+        self.at(self.notice_at, Due::Notices);
+    }
+
+    // ---- the end of a turn ----
+
+    fn end_turn(&mut self) {
+        for action in self.bridge.actions() {
+            match action {
+                Action::Wake(after) => self.at(self.now + after, Due::Wake),
+                Action::Watch(on) => self.list_wanted = on,
+                Action::CloseIdle(ep) => {
+                    for link in self.pool.take_all(&ep) {
+                        self.close(link, Reason::Idle);
+                    }
+                }
+                Action::CallOff(number) => {
+                    if let Some(link) = self.calls.get(&number) {
+                        self.cut(*link, Outcome::Cancelled, Reason::CalledOff);
+                    }
+                }
+            }
+        }
+        if self.list_wanted && self.list_link.is_none() {
+            self.open_list();
+        }
+        let (calls, not_made) = self.bridge.calls(self.now);
+        self.failed.extend(not_made.into_iter().map(|call| (call, Outcome::Moot(true))));
+        for call in calls {
+            self.start(call);
+        }
+        if self.bridge.notices.waiting() && self.now >= self.notice_at {
+            self.send_notice();
+        }
+    }
+}
+
+fn line_ep(links: &BTreeMap<usize, Link>, link: usize) -> String {
+    match links.get(&link).map(|l| &l.peer) {
+        Some(Peer::Endpoint(line)) => line.ep.clone(),
+        _ => String::new(),
+    }
+}
--- /dev/null
+++ b/crates/sender/src/endpoints.rs
@@ -0,0 +1,193 @@
+//! Calls to the destinations' endpoints: how they are written, and what their answers mean.
+
+use crate::http::{Decoder, Fields, Head, MOST_BODY, Message, Start, decode_number};
+use scalebarrow::Outcome;
+use std::collections::BTreeMap;
+
+/// An answer's body means little: a line for each webhook of a call at most.
+const MOST_ANSWER: usize = MOST_BODY;
+
+/// A webhook as a call carries it.
+pub struct Load<'a> {
+    pub id: &'a str,
+    pub token: Option<&'a str>,
+    pub body: &'a [u8],
+}
+
+/// The call for one webhook, or for several; nothing where they do not fit in one body.
+pub fn encode(loads: &[Load], host: &str, wait: f64) -> Option<Vec<u8>> {
+    let wait = (wait * 1e3).max(0.0) as u64;
+    let common = format!("HTTP/1.1\r\nHost: {host}\r\nReq-Deadline: {wait}m\r\n");
+    if let [load] = loads {
+        let token = load.token.map_or(String::new(), |t| format!("Idempotency-Key: {t}\r\n"));
+        let size = load.body.len();
+        let head =
+            format!("POST /inbox {common}Req-Id: {}\r\n{token}Content-Length: {size}\r\n\r\n", load.id);
+        return Some([head.as_bytes(), load.body].concat());
+    }
+    let mut body = Vec::new();
+    for load in loads {
+        let line = format!("{} {} {}\r\n", load.id, load.token.unwrap_or("-"), load.body.len());
+        body.extend_from_slice(line.as_bytes());
+        body.extend_from_slice(load.body);
+        body.extend_from_slice(b"\r\n");
+    }
+    let head = format!("POST /inbox/bulk {common}Content-Length: {}\r\n\r\n", body.len());
+    (body.len() <= MOST_BODY).then(|| [head.as_bytes(), &body].concat())
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    wait: f64,
+    no_slot: bool,
+    /// Share of the limit that is left, and the limit in calls a second, where the answer tells them.
+    pub report: Option<(f64, f64)>,
+}
+
+impl Head for Answer {
+    fn decode(start: &Start, fields: &Fields) -> Self {
+        let status = if let Start::Answer { status } = start { *status } else { 0 };
+        let wait = fields.get("Retry-After").and_then(decode_number).unwrap_or(0.0);
+        let no_slot = fields.get("X-Over-Slots") == Some("1");
+        let load = fields.get("Srv-Load").and_then(|l| l.strip_prefix("TEXT"));
+        let value = |name: &str| {
+            let mut parts = load?.split(',').filter_map(|p| p.trim().split_once('='));
+            parts.find(|(n, _)| *n == name).and_then(|(_, v)| decode_number(v))
+        };
+        Answer { status, wait, no_slot, report: value("x0").zip(value("x1")) }
+    }
+}
+
+/// How a call ended for one webhook; `over` where nothing more is owed for it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ending {
+    pub outcome: Outcome,
+    pub over: bool,
+}
+
+impl From<Outcome> for Ending {
+    fn from(outcome: Outcome) -> Self {
+        Ending { outcome, over: outcome == Outcome::Delivered }
+    }
+}
+
+impl Answer {
+    /// What the status says of a webhook that went alone, or of all in a call that fared alike.
+    fn ending(&self, alone: bool) -> Ending {
+        let outcome = match self.status {
+            200 => Outcome::Delivered,
+            429 => Outcome::Full(self.wait),
+            503 if self.no_slot => Outcome::Moot(true),
+            503 => Outcome::Full(self.wait),
+            504 => Outcome::Moot(false),
+            410 => return Ending { outcome: Outcome::Moot(false), over: true },
+            // Of a call of several that cannot be read, or holds too many, none has run.
+            400 | 413 if !alone => Outcome::Moot(false),
+            _ => Outcome::Failed,
+        };
+        outcome.into()
+    }
+}
+
+/// The endings of a call's webhooks, in their order; nothing where the answer is garbage.
+pub fn endings(answer: &Message<Answer>, ids: &[&str]) -> Option<Vec<Ending>> {
+    if ids.len() == 1 || answer.head.status != 200 {
+        return Some(vec![answer.head.ending(ids.len() == 1); ids.len()]);
+    }
+    let text = std::str::from_utf8(&answer.body).ok()?;
+    let mut told = BTreeMap::new();
+    for line in text.lines().filter(|l| !l.is_empty()) {
+        let (id, word) = line.split_once(' ')?;
+        let ending = match word.trim() {
+            "ok" => Outcome::Delivered.into(),
+            "error" => Outcome::Failed.into(),
+            "later" => Outcome::Full(answer.head.wait).into(),
+            "gone" => Ending { outcome: Outcome::Moot(false), over: true },
+            "exhausted" => Outcome::Moot(false).into(),
+            _ => return None,
+        };
+        told.insert(id, ending);
+    }
+    // One that the answer leaves out may have run.
+    Some(ids.iter().map(|id| told.get(id).copied().unwrap_or(Outcome::Failed.into())).collect())
+}
+
+/// A call that waits for its connection, or is out on it.
+#[derive(Debug)]
+pub struct Call {
+    pub ep: String,
+    /// The webhooks in it, by number and id.
+    pub webhooks: Vec<(u64, String)>,
+    /// When it was decided, and when it is given up.
+    pub decided_at: f64,
+    pub stop_at: f64,
+    pub bytes: Vec<u8>,
+    /// The last byte is written: from then on a webhook may run.
+    pub written: bool,
+}
+
+/// One connection to an endpoint. It carries one call at a time.
+#[derive(Debug)]
+pub struct Line {
+    pub ep: String,
+    pub call: Option<Call>,
+    pub decoder: Decoder<Answer>,
+}
+
+impl Line {
+    pub fn new(ep: String) -> Self {
+        Line { ep, call: None, decoder: Decoder::answers(MOST_ANSWER) }
+    }
+
+    /// How the call ended when the connection broke, or the sender stopped waiting (`else_as`).
+    pub fn cut_short(&mut self, call: &Call, else_as: Outcome) -> (Vec<Ending>, Option<(f64, f64)>) {
+        let count = call.webhooks.len();
+        if let Some(answer) = self.decoder.ended() {
+            let ids: Vec<&str> = call.webhooks.iter().map(|w| w.1.as_str()).collect();
+            let garbage = || vec![Outcome::Reset.into(); count];
+            return (endings(&answer, &ids).unwrap_or_else(garbage), answer.head.report);
+        }
+        // The first line decides where one webhook went alone, even if the rest of the answer is missing.
+        let head = self.decoder.head().cloned();
+        let status = self.decoder.first_line().filter(|s| !(100..200).contains(s));
+        let head = head.or(status.map(|status| Answer { status, ..Answer::default() }));
+        let plain = if call.written { else_as } else { Outcome::ConnectFailed };
+        match head {
+            Some(head) if count == 1 => (vec![head.ending(true)], head.report),
+            _ => (vec![plain.into(); count], None),
+        }
+    }
+}
+
+/// Idle connections by endpoint, the last used at the end.
+#[derive(Debug, Default)]
+pub struct Pool(BTreeMap<String, Vec<usize>>);
+
+impl Pool {
+    pub fn put(&mut self, ep: &str, line: usize) {
+        self.0.entry(ep.to_owned()).or_default().push(line);
+    }
+
+    /// The connection that was used last: it is the least likely to be closing.
+    pub fn take(&mut self, ep: &str) -> Option<usize> {
+        self.0.get_mut(ep)?.pop()
+    }
+
+    pub fn remove(&mut self, ep: &str, line: usize) {
+        if let Some(lines) = self.0.get_mut(ep) {
+            lines.retain(|l| *l != line);
+        }
+        self.0.retain(|_, lines| !lines.is_empty());
+    }
+
+    pub fn take_all(&mut self, ep: &str) -> Vec<usize> {
+        self.0.remove(ep).unwrap_or_default()
+    }
+
+    /// One to close where descriptors are short: the one opened first.
+    pub fn oldest(&self) -> Option<usize> {
+        self.0.values().flatten().min().copied()
+    }
+}
--- /dev/null
+++ b/crates/sender/src/main.rs
@@ -0,0 +1,71 @@
+//! The command line of `scalebarrow`.
+
+mod bridge;
+mod clients;
+mod config;
+mod driver;
+mod endpoints;
+mod http;
+mod journal;
+mod list;
+mod notices;
+
+use bpaf::Bpaf;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Delivers webhooks to outside destinations.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+enum Command {
+    /// Take webhooks and deliver them, until SIGTERM
+    #[bpaf(command)]
+    Serve {
+        /// The configuration
+        #[bpaf(long, env("LB_CONFIG"), argument("FILE"))]
+        config: PathBuf,
+        /// The folder that outlives the process
+        #[bpaf(long, env("LB_STATE"), argument("DIR"))]
+        state: PathBuf,
+    },
+    /// Read the configuration and say whether it can be served
+    #[bpaf(command)]
+    Check {
+        /// The configuration
+        #[bpaf(long, env("LB_CONFIG"), argument("FILE"))]
+        config: PathBuf,
+    },
+    /// Print the version
+    #[bpaf(command)]
+    Version,
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let done = match command().run() {
+        Command::Version => {
+            println!("scalebarrow {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::Check { config } => {
+            config::Config::read(&config).map(|c| println!("{}: can be served", c.name))
+        }
+        Command::Serve { config, state } => match config::Config::read(&config) {
+            Ok(config) => match driver::serve(config, &state) {
+                Ok(()) => Ok(()),
+                Err(e) => {
+                    eprintln!("scalebarrow: {e}");
+                    return ExitCode::FAILURE;
+                }
+            },
+            Err(why) => Err(why),
+        },
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("scalebarrow: configuration: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sender/src/notices.rs
@@ -0,0 +1,102 @@
+//! Notices to the platform: final answers of webhooks that were taken on and not delivered.
+
+use crate::http::{Decoder, Fault, Fields, Head, Start};
+use crate::journal::End;
+use serde::Serialize;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// Lines in one notice: well under the protocol's limit for a body.
+const MOST_LINES: usize = 100;
+const MOST_ANSWER: usize = 4096;
+/// The platform answers at once.
+pub const PATIENCE: f64 = 1.0;
+/// Between two tries of a notice that was not taken.
+pub const PAUSE: f64 = 0.1;
+
+#[derive(Serialize)]
+struct Line<'a> {
+    id: &'a str,
+    state: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    after_ms: Option<u64>,
+}
+
+struct Status(u16);
+
+impl Head for Status {
+    fn decode(start: &Start, _: &Fields) -> Self {
+        Status(if let Start::Answer { status } = start { *status } else { 0 })
+    }
+}
+
+/// What is due, in order, and what is out. A notice is repeated until it is acknowledged.
+pub struct Notices {
+    decoder: Decoder<Status>,
+    due: VecDeque<u64>,
+    out: Vec<u64>,
+    /// A line that the platform cannot read must not hold up others: then they go one by one.
+    singly: bool,
+}
+
+impl Notices {
+    pub fn new() -> Self {
+        let decoder = Decoder::answers(MOST_ANSWER);
+        Notices { decoder, due: VecDeque::new(), out: Vec::new(), singly: false }
+    }
+
+    pub fn push(&mut self, number: u64) {
+        self.due.push_back(number);
+    }
+
+    /// Something is due and nothing is out.
+    pub fn waiting(&self) -> bool {
+        self.out.is_empty() && !self.due.is_empty()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.out.is_empty() && self.due.is_empty()
+    }
+
+    /// The next call. `end` tells the id and the final answer of a webhook.
+    pub fn call<'a>(&mut self, host: &SocketAddr, end: impl Fn(u64) -> Option<(&'a str, End)>) -> Vec<u8> {
+        let most = if self.singly { 1 } else { MOST_LINES };
+        let mut body = Vec::new();
+        while self.out.len() < most
+            && let Some(number) = self.due.pop_front()
+        {
+            let Some((id, end)) = end(number) else { continue };
+            let (state, after_ms) = match end {
+                End::Rejected(after) => ("returned", Some((after * 1e3) as u64).filter(|ms| *ms > 0)),
+                _ => ("failed", None),
+            };
+            // Writing to memory does not fail.
+            let _ = serde_json::to_writer(&mut body, &Line { id, state, after_ms });
+            body.push(b'\n');
+            self.out.push(number);
+        }
+        let size = body.len();
+        let mut call =
+            format!("POST /v1/outcomes HTTP/1.1\r\nHost: {host}\r\nContent-Length: {size}\r\n\r\n")
+                .into_bytes();
+        call.extend(body);
+        call
+    }
+
+    /// The webhooks whose notice was acknowledged, and whether the connection serves further calls.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(Vec<u64>, bool)>, Fault> {
+        self.decoder.feed(bytes);
+        let Some(answer) = self.decoder.message()? else { return Ok(None) };
+        self.singly = answer.head.0 != 204;
+        if self.singly {
+            return Err(Fault::Malformed);
+        }
+        Ok(Some((std::mem::take(&mut self.out), answer.keep && self.decoder.is_clear())))
+    }
+
+    /// The connection is gone: what was out is due again, behind the rest.
+    pub fn broken(&mut self) {
+        self.decoder = Decoder::answers(MOST_ANSWER);
+        self.due.extend(self.out.drain(..));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -167,6 +167,24 @@
         self.0.settle(out);
     }
 
+    /// A webhook comes back after a restart, like one handed in, with the number of attempts made for it; `ran`
+    /// is the zone and the time of the first that may have run.
+    #[allow(clippy::too_many_arguments)]
+    pub fn resumed(
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        left: f64, tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
+    ) {
+        self.0.webhook(now, id, event_type, dest, key, customer, left);
+        self.0.resumed(id, tries, ran);
+        self.0.settle(out);
+    }
+
+    /// The process will end at `by`; attempts that are not back by then may have run.
+    pub fn closing(&mut self, now: f64, by: f64, out: &mut dyn Outbox) {
+        (self.0.now, self.0.closes_at) = (now, by);
+        self.0.settle(out);
+    }
+
     /// A delivery attempt ended. `ended` is set where the webhook has its final answer; `report` is the share
     /// of the destination's limit that is left and the limit in calls a second, where it told them.
     #[allow(clippy::too_many_arguments)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -141,7 +141,7 @@
 
 #[derive(Default)]
 pub(crate) struct Logic {
-    now: f64,
+    pub now: f64,
     number: u64,
     senders: f64,
     chance: u64,
@@ -183,6 +183,7 @@
     current: BTreeMap<u64, Name>,
     wake_at: Option<f64>,
     next_age: f64,
+    pub closes_at: f64,
 }
 
 impl Logic {
@@ -192,6 +193,7 @@
         // A multiply-with-carry state must not be 0 nor all ones; this keeps it inside.
         logic.chance = (seed & 0xffff_ffff) | (1 << 32);
         (logic.within, logic.idle_for, logic.rate_error) = (f64::INFINITY, f64::INFINITY, 1.0);
+        logic.closes_at = f64::INFINITY;
         (logic.cold, logic.slots, logic.holds, logic.attempts) = ((1.0, 0.0, f64::INFINITY), 1, 1, 1);
         logic
     }
@@ -249,11 +251,10 @@
             if !self.routes.contains_key(e.ep) {
                 let ep: Name = e.ep.into();
                 self.dests.entry(e.dest).or_default().push(ep.clone());
-                let (zone, window) = (e.zone.into(), self.first_window());
-                let (dest, kind) = (e.dest, e.kind.into());
-                let mut route = Route { dest, kind, zone, batch, apart, window, ..Route::default() };
-                (route.answered, route.used) = (now, now);
-                self.routes.insert(ep, route);
+                let (zone, kind, dest) = (e.zone.into(), e.kind.into(), e.dest);
+                let (answered, used, window) = (now, now, self.first_window());
+                let r = Route { dest, kind, zone, batch, apart, window, answered, used, ..Route::default() };
+                self.routes.insert(ep, r);
             }
             let Some(r) = self.routes.get_mut(e.ep) else { continue };
             (r.ready, r.rate) = (e.ready, if e.rate.is_finite() { e.rate.max(0.0) } else { 0.0 });
@@ -267,11 +268,9 @@
     ) {
         self.now = now;
         let ttl_at = now + left;
-        let (mut target_at, mut line) = (now, None);
-        if let Some(t) = self.types.get(evt) {
-            target_at = ttl_at - t.ttl + t.target;
-            line = key.filter(|_| t.ordered).map(Name::from);
-        }
+        let t = self.types.get(evt);
+        let target_at = t.map_or(now, |t| ttl_at - t.ttl + t.target);
+        let line = key.filter(|_| t.is_some_and(|t| t.ordered)).map(Name::from);
         if let Some(k) = &line {
             self.key_lines.entry(k.clone()).or_default().push_back(id);
         }
@@ -299,12 +298,9 @@
             let zone = self.routes.get(ep).map_or_else(|| Name::from(""), |r| r.zone.clone());
             w.ran = Some((zone, now - took));
         }
-        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
-            && let Some(k) = &w.key
-        {
-            // A key rests after an attempt that may still run; the one that has the turn need not wait.
-            self.key_rests.insert(k.clone(), now + self.key_rest);
-        }
+        // A key rests after an attempt that may still run; the one that has the turn need not wait.
+        let rests = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        self.key_rests.extend(w.key.clone().filter(|_| rests).map(|k| (k, now + self.key_rest)));
         if w.tries > 1 {
             self.retries.push_back(outcome == Outcome::Delivered);
             // 20 further attempts: enough to tell one in ten from one in two.
@@ -318,8 +314,15 @@
         // short stall is over by then) when all did, up to 2 s when none.
         let good = self.retries.iter().filter(|g| **g).count() + 1;
         w.not_before = now + (0.1 * (self.retries.len() + 1) as f64 / good as f64).min(2.0);
-        let dest = w.dest;
-        self.held.entry(dest).or_default().push(id);
+        self.held.entry(w.dest).or_default().push(id);
+    }
+
+    /// Back after a restart, with its attempts, and where and when the first went that may have run.
+    pub fn resumed(&mut self, id: u64, tries: u32, ran: Option<(&str, f64)>) {
+        let Some(w) = self.webhooks.get_mut(&id) else { return };
+        (w.tries, w.ran) = (tries, ran.map(|(zone, at)| (zone.into(), at)));
+        let key = w.key.clone().filter(|_| w.ran.is_some());
+        self.key_rests.extend(key.map(|k| (k, self.now + self.key_rest)));
     }
 
     pub fn withdrawn(&mut self, now: f64, id: u64) {
@@ -334,9 +337,7 @@
 
     pub fn woken(&mut self, now: f64, _handle: u64) {
         self.now = now;
-        if self.wake_at.is_some_and(|t| now >= t - 1e-6) {
-            self.wake_at = None;
-        }
+        self.wake_at = self.wake_at.filter(|t| now < t - 1e-6);
     }
 
     // ---- ledger ----
@@ -569,10 +570,8 @@
 
     /// An outage was seen in a scope: all its routes not answering well since `since` may come back cold.
     fn mark_outage(&mut self, scope: &Scope, since: f64) {
-        let eps = match &scope.1 {
-            Some(ep) => std::slice::from_ref(ep),
-            None => self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice),
-        };
+        let all = || self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice);
+        let eps = scope.1.as_ref().map_or_else(all, std::slice::from_ref);
         for ep in eps {
             if let Some(r) = self.routes.get_mut(ep)
                 && !r.samples.iter().any(|s| s.good && s.at >= since)
@@ -1002,7 +1001,9 @@
     /// When a route takes a call, as far as time alone decides it.
     fn free_at(&self, ep: &Name, r: &Route) -> f64 {
         let full = if r.open { !r.calls.is_empty() } else { r.calls.len() as f64 + 1.0 > r.window };
-        if !r.ready || full || self.busy >= self.slots || (!r.open && self.silent(r)) {
+        // A call that is out when the process ends may have run, and nobody hears how it ended.
+        let closes = self.now + self.slow_end(r) > self.closes_at;
+        if !r.ready || full || closes || self.busy >= self.slots || (!r.open && self.silent(r)) {
             return f64::INFINITY;
         }
         self.pace_end(ep, r, false).max(if r.open { r.trial_at } else { 0.0 })
