--- /dev/null
+++ b/crates/sender/tests/helpers/mod.rs
@@ -0,0 +1,327 @@
+//! The built program, and stand-ins for those it speaks to: endpoints, the platform, clients.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Far more than anything here takes; a test that waits so long has failed.
+pub const LONG: Duration = Duration::from_secs(15);
+
+/// An address of its own for each party, so that tests and runs side by side do not meet.
+pub fn address() -> SocketAddr {
+    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    let (own, pid) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
+    SocketAddr::from(([127, 100 + (pid % 100) as u8, (pid / 100 % 250) as u8, own as u8], 8081))
+}
+
+/// One message as it came: the first line and header lines, and the body.
+#[derive(Debug, Clone)]
+pub struct Heard {
+    pub head: String,
+    pub body: Vec<u8>,
+    pub at: Instant,
+}
+
+impl Heard {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|l| l.split_once(':'));
+        lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim()).next()
+    }
+
+    pub fn status(&self) -> u16 {
+        self.head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn id(&self) -> String {
+        self.field("Req-Id").unwrap_or_default().to_owned()
+    }
+}
+
+/// Reads one message; nothing where the connection ends before.
+pub fn hear(stream: &mut TcpStream) -> Option<Heard> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return None,
+        }
+    }
+    let mut heard = Heard { head: String::from_utf8(head).unwrap(), body: Vec::new(), at: Instant::now() };
+    let size = heard.field("Content-Length").map_or(0, |l| l.parse().unwrap());
+    heard.body.resize(size, 0);
+    stream.read_exact(&mut heard.body).ok()?;
+    Some(heard)
+}
+
+/// What a stand-in does with a message.
+pub enum Deed {
+    Say(&'static str),
+    Tell(String),
+    /// Says it and ends the connection.
+    Last(&'static str),
+    /// Ends the connection with no answer.
+    Break,
+    /// Keeps the connection and says nothing.
+    Silence,
+}
+
+pub const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+pub const NO_CONTENT: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+
+/// Listens and does what `deed` says for each message, by its number counted over all connections.
+fn stand_in(at: SocketAddr, deed: impl Fn(usize, &Heard) -> Deed + Send + Sync + 'static) {
+    let listener = TcpListener::bind(at).unwrap();
+    let (deed, count) = (Arc::new(deed), Arc::new(AtomicUsize::new(0)));
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (deed, count) = (deed.clone(), count.clone());
+            thread::spawn(move || {
+                while let Some(heard) = hear(&mut stream) {
+                    let answer = match deed(count.fetch_add(1, Ordering::SeqCst), &heard) {
+                        Deed::Say(text) => text.to_owned(),
+                        Deed::Tell(text) => text,
+                        Deed::Break => return,
+                        Deed::Last(text) => {
+                            let _ = stream.write_all(text.as_bytes());
+                            return;
+                        }
+                        Deed::Silence => continue,
+                    };
+                    if stream.write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
+/// An endpoint at an address of its own. What it hears comes out of the channel.
+pub struct Endpoint {
+    pub at: SocketAddr,
+    pub calls: Receiver<Heard>,
+}
+
+impl Endpoint {
+    pub fn start(deed: impl Fn(usize, &Heard) -> Deed + Send + Sync + 'static) -> Self {
+        Self::start_at(address(), deed)
+    }
+
+    pub fn start_at(at: SocketAddr, deed: impl Fn(usize, &Heard) -> Deed + Send + Sync + 'static) -> Self {
+        let (tell, calls) = channel();
+        let tell = Mutex::new(tell);
+        stand_in(at, move |count, heard| {
+            let _ = tell.lock().unwrap().send(heard.clone());
+            deed(count, heard)
+        });
+        Endpoint { at, calls }
+    }
+
+    pub fn call(&self) -> Heard {
+        self.calls.recv_timeout(LONG).expect("no call came")
+    }
+}
+
+/// One line of the list.
+pub fn host(name: &str, at: SocketAddr, kind: &str, health: &str) -> String {
+    format!(
+        r#"{{"host":"{name}","dial":"{at}","site":"z","class":"{kind}","block":1,"health":"{health}","share":50.0,"born_ms":0}}"#
+    )
+}
+
+pub fn list(seq: u64, whole: bool, hosts: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
+}
+
+/// The platform: its list, with watches that are held until there is news, and the notices it was sent.
+pub struct Platform {
+    pub at: SocketAddr,
+    pub notices: Receiver<String>,
+    news: Arc<(Mutex<Vec<String>>, Condvar)>,
+}
+
+impl Platform {
+    /// `whole` is the list; the first `deaf` notices are answered with an error.
+    pub fn start(whole: String, deaf: usize) -> Self {
+        let (at, (tell, notices)) = (address(), channel::<String>());
+        let news = Arc::new((Mutex::new(Vec::<String>::new()), Condvar::new()));
+        let (held, tell): (_, Mutex<Sender<String>>) = (news.clone(), Mutex::new(tell));
+        let heard_notices = AtomicUsize::new(0);
+        stand_in(at, move |_, heard| {
+            if heard.head.starts_with("POST /v1/outcomes ") {
+                let _ = tell.lock().unwrap().send(String::from_utf8(heard.body.clone()).unwrap());
+                let bad = heard_notices.fetch_add(1, Ordering::SeqCst) < deaf;
+                return Deed::Say(if bad {
+                    "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n"
+                } else {
+                    NO_CONTENT
+                });
+            }
+            let mut body = whole.clone();
+            if heard.head.starts_with("GET /v1/endpoints?since=") {
+                let mut waiting = held.0.lock().unwrap();
+                while waiting.is_empty() {
+                    waiting = held.1.wait(waiting).unwrap();
+                }
+                body = waiting.remove(0);
+            }
+            Deed::Tell(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+        });
+        Platform { at, notices, news }
+    }
+
+    /// Answers the watch that stands, or the next, with this body.
+    pub fn tell(&self, body: String) {
+        self.news.0.lock().unwrap().push(body);
+        self.news.1.notify_all();
+    }
+
+    pub fn notice(&self) -> String {
+        self.notices.recv_timeout(LONG).expect("no notice came")
+    }
+}
+
+/// A configuration: event types `idem`, `token` and `once`, wanted in 2 s and given up in 8 s; kinds `plain`, and
+/// `bulk` with three in a call.
+pub fn config(listen: SocketAddr, discovery: SocketAddr, known: &str) -> String {
+    let event_type = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","aim-ms":2000.0,"deadline-ms":8000.0,"effect":"{effect}","group":"all","late-value":0.3,"repeat-window-ms":8000.0,"worth":1.0}}"#
+        )
+    };
+    let types =
+        [event_type("idem", "free"), event_type("token", "guarded"), event_type("once", "single_shot")]
+            .join(",");
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":3}},"known":{known},
+"settings":{{"caps":{{"cancelling":true,"conn-idle-ms":5000.0,"connect-timeout-ms":1000.0,"max-attempts":6,
+"max-retry-after-ms":2000.0,"open-cap":300,"retry-after":false}},"classes":[{types}],
+"family-info":{{"bundle-max":[1,3],"decay":"by_half","routes-apart":[false,true],"slots":40}},
+"instances":1,"me":0,"membership-mode":"push","models":["plain","bulk"],"orgs":[],
+"rules":{{"cold-from":0.28,"cold-ms":14000.0,"fall-multiple":1.5}},"weights":"nominal"}}}}"#
+    )
+}
+
+/// An empty folder of its own.
+pub fn folder() -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let own = format!("{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(own);
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(path.join("state")).unwrap();
+    path
+}
+
+fn command(folder: &Path, sub: &str) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_scalebarrow"));
+    command.arg(sub).env("LB_CONFIG", folder.join("config.json")).env("LB_STATE", folder.join("state"));
+    command
+}
+
+/// Runs a sub-command on a configuration to its end.
+pub fn run(sub: &str, config: &str) -> Output {
+    let folder = folder();
+    std::fs::write(folder.join("config.json"), config).unwrap();
+    command(&folder, sub).output().unwrap()
+}
+
+/// The program, serving.
+pub struct Program {
+    pub listen: SocketAddr,
+    pub folder: PathBuf,
+    child: Child,
+}
+
+impl Program {
+    /// Starts it on a platform's list, with changes to the configuration as (from, to).
+    pub fn start(platform: &Platform, known: &str, changes: &[(&str, &str)]) -> Self {
+        let (folder, listen) = (folder(), address());
+        let plain = config(listen, platform.at, known);
+        let config = changes.iter().fold(plain, |c, (from, to)| {
+            assert!(c.contains(from), "{from} is not in the configuration");
+            c.replace(from, to)
+        });
+        std::fs::write(folder.join("config.json"), config).unwrap();
+        let child = Self::spawn(&folder, listen);
+        Program { listen, folder, child }
+    }
+
+    fn spawn(folder: &Path, listen: SocketAddr) -> Child {
+        let child = command(folder, "serve").stderr(Stdio::null()).spawn().unwrap();
+        let since = Instant::now();
+        // It listens only once it is ready.
+        while TcpStream::connect(listen).is_err() {
+            assert!(since.elapsed() < LONG, "it does not listen");
+            thread::sleep(Duration::from_millis(5));
+        }
+        assert_eq!(say(listen, b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").unwrap().status(), 200);
+        child
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
+    }
+
+    /// Kills it outright and starts it again on the same folder.
+    pub fn restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = Self::spawn(&self.folder, self.listen);
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.listen).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream
+    }
+
+    /// Hands in a webhook for destination 1 over a connection of its own and returns the answer's status.
+    pub fn hand_in(&self, event_type: &str, id: &str, ms: u64, body: &[u8]) -> u16 {
+        say(self.listen, &hand_in(event_type, id, ms, body)).unwrap().status()
+    }
+
+    pub fn state_size(&self) -> u64 {
+        let files = std::fs::read_dir(self.folder.join("state")).unwrap();
+        files.map(|f| f.unwrap().metadata().unwrap().len()).sum()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The bytes of a webhook handed in.
+pub fn hand_in(event_type: &str, id: &str, ms: u64, body: &[u8]) -> Vec<u8> {
+    let size = body.len();
+    let head = format!(
+        "POST /{event_type} HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Deadline: {ms}m\r\n\
+         Idempotency-Key: key-{id}\r\nX-Addressing: dest=1\r\nContent-Length: {size}\r\n\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// Sends bytes over a connection of their own and reads one answer.
+pub fn say(to: SocketAddr, bytes: &[u8]) -> Option<Heard> {
+    let mut stream = TcpStream::connect(to).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    // The answer may come, and the connection end, before all is written.
+    let _ = stream.write_all(bytes);
+    hear(&mut stream)
+}
--- /dev/null
+++ b/crates/sender/tests/sockets.rs
@@ -0,0 +1,374 @@
+//! Starts the program and speaks to it over sockets.
+
+mod helpers;
+
+use helpers::{Deed, Endpoint, LONG, OK, Platform, Program, address, hand_in, hear, host, list, run, say};
+use std::io::Write;
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+
+const SHUT: &str = "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n";
+const EMPTY: &str = r#"{"seq":0,"whole":true,"hosts":[]}"#;
+
+/// A program with one endpoint that does what `deed` says.
+fn with_endpoint(
+    kind: &str, changes: &[(&str, &str)],
+    deed: impl Fn(usize, &helpers::Heard) -> Deed + Send + Sync + 'static,
+) -> (Endpoint, Platform, Program) {
+    let endpoint = Endpoint::start(deed);
+    let known = list(1, true, &[host("a", endpoint.at, kind, "SERVING")]);
+    let platform = Platform::start(known.clone(), 0);
+    let program = Program::start(&platform, &known, changes);
+    (endpoint, platform, program)
+}
+
+#[test]
+fn a_webhook_is_taken_on_and_delivered_unchanged() {
+    let (endpoint, _platform, program) = with_endpoint("plain", &[], |_, _| Deed::Say(OK));
+    for id in ["first", "second"] {
+        let body: Vec<u8> = (0..=255).cycle().take(3000).collect();
+        assert_eq!(program.hand_in("token", id, 8000, &body), 202);
+        let call = endpoint.call();
+        assert!(call.head.starts_with("POST /inbox HTTP/1.1\r\n"), "{}", call.head);
+        assert_eq!((call.id().as_str(), &call.body), (id, &body));
+        assert_eq!(call.field("Idempotency-Key"), Some(format!("key-{id}").as_str()));
+        let wait = call.field("Req-Deadline").and_then(|d| d.strip_suffix('m')).unwrap();
+        assert!((1..=8000).contains(&wait.parse().unwrap()), "{wait}");
+    }
+}
+
+#[test]
+fn what_an_answer_leads_to() {
+    // Event type, the first answer, how many calls come, the notice.
+    let later = "HTTP/1.1 429 no\r\nContent-Length: 0\r\nRetry-After: 0.400\r\n\r\n";
+    let error = "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n";
+    let gone = "HTTP/1.1 410 no\r\nContent-Length: 0\r\n\r\n";
+    // Without a length the body ends with the connection; the first line decides.
+    let short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal";
+    let cases: [(&str, &str, Option<&'static str>, usize, bool); 8] = [
+        ("refused, with a wait", "once", Some(later), 2, false),
+        ("shut", "once", Some(SHUT), 2, false),
+        ("an error may have run: sent again where it may", "idem", Some(error), 2, false),
+        ("an error may have run: never again otherwise", "once", Some(error), 1, true),
+        ("a reset may have run", "once", None, 1, true),
+        ("a reset, where it may be sent again", "token", None, 2, false),
+        ("garbage is a reset", "once", Some("HTP/9 what\r\n\r\n"), 1, true),
+        ("over", "idem", Some(gone), 1, false),
+    ];
+    for (name, event_type, first, calls, notice) in cases {
+        let (endpoint, platform, program) =
+            with_endpoint("plain", &[], move |count, _| match (count, first) {
+                (0, None) => Deed::Break,
+                (0, Some(text)) => Deed::Say(text),
+                _ => Deed::Say(OK),
+            });
+        assert_eq!(program.hand_in(event_type, "x", 8000, b"body"), 202, "{name}");
+        let heard: Vec<_> = (0..calls).map(|_| endpoint.call()).collect();
+        assert!(heard.iter().all(|h| h.id() == "x"), "{name}");
+        if first == Some(later) {
+            assert!(heard[1].at - heard[0].at >= Duration::from_millis(400), "{name}: the wait is heeded");
+        }
+        if notice {
+            assert_eq!(platform.notice(), "{\"id\":\"x\",\"state\":\"failed\"}\n", "{name}");
+        }
+        // Another one goes out next: nothing more was sent, or told, for the first.
+        assert_eq!(program.hand_in("idem", "y", 8000, b""), 202, "{name}");
+        assert_eq!(endpoint.call().id(), "y", "{name}");
+        assert!(platform.notices.try_recv().is_err(), "{name}");
+    }
+    // What a first line told counts, though the rest of the answer is missing: the only notice is the second's.
+    let (endpoint, platform, program) = with_endpoint("plain", &[], move |count, _| match count {
+        0 => Deed::Last(short),
+        _ => Deed::Break,
+    });
+    for id in ["x", "y"] {
+        assert_eq!(program.hand_in("once", id, 8000, b""), 202);
+        assert_eq!(endpoint.call().id(), id);
+    }
+    assert_eq!(platform.notice(), "{\"id\":\"y\",\"state\":\"failed\"}\n");
+}
+
+#[test]
+fn refused_connections_prove_that_nothing_ran() {
+    let at = address();
+    let known = list(1, true, &[host("a", at, "plain", "SERVING")]);
+    let platform = Platform::start(known.clone(), 0);
+    let program = Program::start(&platform, &known, &[]);
+    assert_eq!(program.hand_in("once", "x", 8000, b"body"), 202);
+    let endpoint = Endpoint::start_at(at, |_, _| Deed::Say(OK));
+    assert_eq!(endpoint.call().id(), "x");
+}
+
+#[test]
+fn several_webhooks_travel_in_one_call_and_end_one_by_one() {
+    let (endpoint, platform, program) = with_endpoint("bulk", &[], |_, heard| {
+        if !heard.head.starts_with("POST /inbox/bulk ") {
+            return Deed::Say(OK);
+        }
+        let body = "a ok\r\nb later\r\nc error\r\n";
+        Deed::Tell(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+    });
+    // Three requests in one piece are read, and so decided, in one turn.
+    let requests = [
+        hand_in("idem", "a", 8000, b"one"),
+        hand_in("idem", "b", 8000, b"\r\n"),
+        hand_in("once", "c", 8000, b""),
+    ];
+    let mut client = program.connect();
+    client.write_all(&requests.concat()).unwrap();
+    for _ in 0..3 {
+        assert_eq!(hear(&mut client).unwrap().status(), 202);
+    }
+    let call = endpoint.call();
+    assert!(call.head.starts_with("POST /inbox/bulk HTTP/1.1\r\n"), "{}", call.head);
+    assert_eq!(call.body, b"a key-a 3\r\none\r\nb key-b 2\r\n\r\n\r\nc key-c 0\r\n\r\n");
+    assert_eq!(endpoint.call().id(), "b");
+    assert_eq!(platform.notice(), "{\"id\":\"c\",\"state\":\"failed\"}\n");
+}
+
+#[test]
+fn a_notice_is_repeated_until_it_is_acknowledged() {
+    let platform = Platform::start(EMPTY.into(), 2);
+    let program = Program::start(&platform, EMPTY, &[]);
+    assert_eq!(program.hand_in("idem", "x", 300, b""), 202);
+    for _ in 0..3 {
+        assert_eq!(platform.notice(), "{\"id\":\"x\",\"state\":\"returned\"}\n");
+    }
+    assert_eq!(program.hand_in("idem", "y", 300, b""), 202);
+    assert_eq!(platform.notice(), "{\"id\":\"y\",\"state\":\"returned\"}\n");
+}
+
+#[test]
+fn a_killed_process_loses_nothing_and_repeats_nothing_that_must_not_run_twice() {
+    let (endpoint, platform, mut program) = with_endpoint("plain", &[], |count, _| match count {
+        0..3 => Deed::Silence,
+        _ => Deed::Say(OK),
+    });
+    for (event_type, id) in [("once", "o"), ("idem", "i"), ("token", "t")] {
+        assert_eq!(program.hand_in(event_type, id, 8000, id.as_bytes()), 202);
+        assert_eq!(endpoint.call().id(), id);
+    }
+    program.restart();
+    assert_eq!(platform.notice(), "{\"id\":\"o\",\"state\":\"failed\"}\n");
+    let mut again = [endpoint.call(), endpoint.call()].map(|c| (c.id(), c.body));
+    again.sort();
+    assert_eq!(again, [("i".into(), b"i".to_vec()), ("t".into(), b"t".to_vec())]);
+    // Nothing is left over from either life.
+    program.restart();
+    assert_eq!(program.hand_in("idem", "y", 8000, b""), 202);
+    assert_eq!(endpoint.call().id(), "y");
+    assert!(platform.notices.try_recv().is_err());
+}
+
+#[test]
+fn what_was_held_and_what_was_owed_outlive_the_process() {
+    let at = address();
+    let known = list(1, true, &[host("a", at, "plain", "SERVING")]);
+    let platform = Platform::start(known.clone(), 1);
+    let mut program = Program::start(&platform, &known, &[]);
+    assert_eq!(program.hand_in("once", "held", 8000, b"body"), 202);
+    assert_eq!(program.hand_in("once", "late", 200, b""), 202);
+    // The first notice is not acknowledged, and the process dies before or after the second.
+    let first = platform.notice();
+    program.restart();
+    assert_eq!((platform.notice(), first.contains("late")), (first, true));
+    let endpoint = Endpoint::start_at(at, |_, _| Deed::Say(OK));
+    let call = endpoint.call();
+    assert_eq!((call.id(), call.body), ("held".into(), b"body".to_vec()));
+}
+
+#[test]
+fn a_planned_end_takes_what_comes_and_closes_what_is_idle() {
+    let (endpoint, _platform, mut program) = with_endpoint("plain", &[], |_, _| Deed::Say(OK));
+    let mut idle = program.connect();
+    idle.write_all(&hand_in("idem", "before", 8000, b"")).unwrap();
+    assert_eq!(hear(&mut idle).unwrap().status(), 202);
+    let since = Instant::now();
+    program.signal("TERM");
+    assert!(hear(&mut idle).is_none(), "closed between requests");
+    let mut fresh = program.connect();
+    fresh.write_all(&hand_in("idem", "after", 8000, b"")).unwrap();
+    let answer = hear(&mut fresh).unwrap();
+    assert_eq!((answer.status(), answer.field("Connection")), (202, Some("close")));
+    assert_eq!([endpoint.call().id(), endpoint.call().id()], ["before", "after"]);
+    drop((idle, fresh));
+    assert!(program.wait().success());
+    assert!(since.elapsed() < Duration::from_millis(3700));
+}
+
+#[test]
+fn an_end_with_a_call_out_leaves_in_time_and_the_next_life_answers_for_it() {
+    let (endpoint, platform, mut program) = with_endpoint("plain", &[], |_, _| Deed::Silence);
+    assert_eq!(program.hand_in("once", "x", 8000, b""), 202);
+    endpoint.call();
+    let since = Instant::now();
+    program.signal("TERM");
+    assert!(program.wait().success());
+    assert!(since.elapsed() < Duration::from_millis(3700), "{:?}", since.elapsed());
+    program.restart();
+    assert_eq!(platform.notice(), "{\"id\":\"x\",\"state\":\"failed\"}\n");
+}
+
+#[test]
+fn a_full_folder_refuses_and_never_grows_over_its_limit() {
+    let (endpoint, _platform, program) =
+        with_endpoint("plain", &[("\"disk_mb\":3", "\"disk_mb\":0.3")], |_, _| Deed::Silence);
+    let body = vec![b'x'; 20_000];
+    let statuses: Vec<u16> =
+        (0..12).map(|i| program.hand_in("once", &format!("w{i}"), 8000, &body)).collect();
+    let taken = statuses.iter().take_while(|s| **s == 202).count();
+    assert!((1..12).contains(&taken) && statuses[taken..].iter().all(|s| *s == 503), "{statuses:?}");
+    assert!(program.state_size() < 300_000, "{}", program.state_size());
+    // A small one still fits; small ones without end do not grow the folder.
+    drop(endpoint);
+    for i in 0..400 {
+        assert!([202, 429, 503].contains(&program.hand_in("idem", &format!("s{i}"), 50, &[b'y'; 600])));
+    }
+    assert!(program.state_size() < 300_000, "{}", program.state_size());
+}
+
+#[test]
+fn bad_requests_get_the_status_that_names_the_fault() {
+    let platform = Platform::start(EMPTY.into(), 0);
+    let program = Program::start(&platform, EMPTY, &[]);
+    let good = String::from_utf8(hand_in("idem", "x", 8000, b"hello")).unwrap();
+    let without =
+        |line: &str| good.split("\r\n").filter(|l| !l.starts_with(line)).collect::<Vec<_>>().join("\r\n");
+    let long_line = format!("X-Long: {}\r\nHost", "a".repeat(20_000));
+    let many_lines = format!("{}Host", "X-Y: z\r\n".repeat(200));
+    let cases = [
+        ("garbage", "what is this\r\n\r\n".into(), 400),
+        ("a control byte in a name", good.replace("Req-Id", "Req\u{1}Id"), 400),
+        ("two lengths", good.replace("Host: a", "Content-Length: 5"), 400),
+        ("a length and a coding", good.replace("Host: a", "Transfer-Encoding: chunked"), 400),
+        ("a length that is no number", good.replace("Length: 5", "Length: -5"), 400),
+        ("a coding nobody knows", good.replace("Content-Length: 5", "Transfer-Encoding: br"), 501),
+        ("a body over the limit", good.replace("Length: 5", "Length: 65537"), 413),
+        ("a length beyond all numbers", good.replace("Length: 5", "Length: 99999999999999999999999"), 413),
+        (
+            "a chunk over the limit",
+            without("Content-Length")
+                .replace("Host: a", "Transfer-Encoding: chunked")
+                .replace("hello", "ffffff\r\n"),
+            413,
+        ),
+        ("a long line", good.replace("Host", &long_line), 431),
+        ("many lines", good.replace("Host", &many_lines), 431),
+        ("an unknown path", good.replace("/idem", "/nothing"), 404),
+        ("no path", good.replace("/idem", "/"), 404),
+        ("another method", good.replace("POST", "PUT"), 405),
+        ("another method on the ready path", "DELETE /ready HTTP/1.1\r\n\r\n".into(), 405),
+        ("no id", without("Req-Id"), 400),
+        ("an id with a blank", good.replace("Req-Id: x", "Req-Id: x y"), 400),
+        ("no time", without("Req-Deadline"), 400),
+        ("a time without unit", good.replace("8000m", "8000"), 400),
+        ("a time below zero", good.replace("8000m", "-1m"), 400),
+        ("no destination", without("X-Addressing"), 400),
+        ("a destination that is no number", good.replace("dest=1", "dest=one"), 400),
+        ("out of time already", good.replace("8000m", "0m"), 429),
+        (
+            "good, in chunks",
+            without("Content-Length")
+                .replace("Host: a", "Transfer-Encoding: chunked")
+                .replace("hello", "5\r\nhello\r\n0\r\n\r\n"),
+            202,
+        ),
+        ("good", good.replace("Req-Id: x", "Req-Id: z"), 202),
+    ];
+    for (name, bytes, status) in cases {
+        let answer = say(program.listen, bytes.as_bytes()).unwrap_or_else(|| panic!("{name}: no answer"));
+        assert_eq!(answer.status(), status, "{name}");
+    }
+    // One that waits for leave to send its body gets it.
+    let (head, body) = good.split_at(good.len() - 5);
+    let mut client = program.connect();
+    let head = head.replace("Host: a", "Expect: 100-continue").replace("Req-Id: x", "Req-Id: e");
+    client.write_all(head.as_bytes()).unwrap();
+    assert_eq!(hear(&mut client).unwrap().status(), 100);
+    client.write_all(body.as_bytes()).unwrap();
+    assert_eq!(hear(&mut client).unwrap().status(), 202);
+    // One that stops in the middle is told so in the end.
+    let mut silent = program.connect();
+    silent.write_all(&good.as_bytes()[..40]).unwrap();
+    assert_eq!(hear(&mut silent).unwrap().status(), 408);
+    assert!(hear(&mut silent).is_none());
+}
+
+#[test]
+fn a_client_that_went_away_unheard_has_handed_in_nothing() {
+    let (endpoint, _platform, program) = with_endpoint("plain", &[], |_, _| Deed::Say(OK));
+    // The program stands still, as on a busy machine, until the client has given up.
+    let mut client = program.connect();
+    program.signal("STOP");
+    client.write_all(&hand_in("idem", "gone", 8000, b"")).unwrap();
+    client.shutdown(Shutdown::Write).unwrap();
+    program.signal("CONT");
+    assert_eq!(hear(&mut client).unwrap().status(), 503);
+    assert_eq!(program.hand_in("idem", "next", 8000, b""), 202);
+    assert_eq!(endpoint.call().id(), "next");
+}
+
+#[test]
+fn the_list_is_followed() {
+    let (a, b) = (Endpoint::start(|_, _| Deed::Say(OK)), Endpoint::start(|_, _| Deed::Say(OK)));
+    let first = list(1, true, &[host("a", a.at, "plain", "SERVING")]);
+    let platform = Platform::start(first.clone(), 0);
+    let program = Program::start(&platform, &first, &[]);
+    let mut count = 0;
+    let mut goes_to = |endpoint: &Endpoint| {
+        count += 1;
+        let id = format!("w{count}");
+        assert_eq!(program.hand_in("idem", &id, 8000, b""), 202);
+        assert_eq!(endpoint.call().id(), id);
+    };
+    goes_to(&a);
+    // Changes in one piece; a watch that is renewed after each; garbage keeps what was known.
+    let drains = host("a", a.at, "plain", "DRAINING");
+    platform.tell(list(2, false, &[drains, host("b", b.at, "plain", "SERVING")]));
+    let since = Instant::now();
+    while b.calls.try_recv().is_err() {
+        assert!(since.elapsed() < LONG, "the change is not followed");
+        program.hand_in("idem", &format!("s{:?}", since.elapsed()), 8000, b"");
+    }
+    while a.calls.try_recv().is_ok() || b.calls.recv_timeout(Duration::from_millis(300)).is_ok() {}
+    goes_to(&b);
+    platform.tell("{\"seq\":3,\"whole\":tru".into());
+    goes_to(&b);
+    platform.tell(list(4, true, &[host("c", a.at, "plain", "SERVING")]));
+    let since = Instant::now();
+    while a.calls.try_recv().is_err() {
+        assert!(since.elapsed() < LONG, "the whole list is not followed");
+        program.hand_in("idem", &format!("t{:?}", since.elapsed()), 8000, b"");
+    }
+}
+
+#[test]
+fn a_wrong_configuration_is_named_in_one_line() {
+    let good = helpers::config(address(), address(), EMPTY);
+    let cases = [
+        ("\"listen\":\"", "\"listen\":\"x", "listen"),
+        ("\"seed\":\"8", "\"seed\":\"zz", "seed"),
+        ("\"sockets\":256", "\"sockets\":-1", "limits.sockets"),
+        ("\"sockets\":256", "\"sockets\":8", "limits.sockets"),
+        ("\"disk_mb\":3", "\"disk\":3", "disk_mb"),
+        ("\"slots\":40", "\"slots\":0", "settings.family-info.slots"),
+        ("\"slots\":40", "\"slots\":\"many\"", "settings.family-info.slots"),
+        ("\"max-attempts\":6", "\"max-attempts\":0", "settings.caps.max-attempts"),
+        ("\"effect\":\"guarded\"", "\"effect\":\"odd\"", "settings.classes[1].effect"),
+        ("\"name\":\"once\"", "\"name\":\"a/b\"", "settings.classes[2].name"),
+        ("\"cold-ms\":14000.0", "\"cold-ms\":-1", "settings.rules.cold-ms"),
+        ("\"seq\":0", "\"seq\":\"0\"", "known.seq"),
+        ("{\"name\":\"n0\"", "[", "line 1"),
+    ];
+    for sub in ["check", "serve"] {
+        for (from, to, field) in &cases {
+            assert!(good.contains(from), "{from}");
+            let output = run(sub, &good.replacen(from, to, 1));
+            let text = String::from_utf8(output.stderr).unwrap();
+            assert_eq!((output.status.code(), text.lines().count()), (Some(2), 1), "{field}: {text}");
+            assert!(text.contains(field), "{field}: {text}");
+        }
+    }
+    assert!(run("check", &good).status.success());
+    assert!(String::from_utf8(run("version", "").stdout).unwrap().starts_with("scalebarrow 0"));
+}
