Sender: readiness order, accept pauses, memory budget, zones of calls; docs and module tests

Read through as a whole. Lines at fault: driver.rs handled ready connections by number, not in the order they became ready (order of webhooks with one key); accept() would have spun when the system is out of descriptors, and clients waiting for room were only looked at when a connection ended; a log that cannot be written could end the process; the wait for an overdue watch ended exactly when it counts as told; a call to an endpoint that left the list in the meantime would have been written down without its zone. Memory is now budgeted over connections.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -75,8 +75,6 @@
     event_types: BTreeSet<String>,
     reports: bool,
     config: Config,
-    /// The last time given to the module; its clock must not run backwards.
-    now: f64,
 }
 
 impl Bridge {
@@ -85,19 +83,8 @@
         let (asked, notices) = (Asked::default(), Notices::new());
         let (places, numbers, next) = (BTreeMap::new(), BTreeMap::new(), journal.next_number());
         let (sender, reports, event_types) = (config.open(now), config.reports(), config.event_types());
-        let mut bridge = Bridge {
-            sender,
-            asked,
-            journal,
-            notices,
-            places,
-            numbers,
-            next,
-            event_types,
-            reports,
-            config,
-            now,
-        };
+        let mut bridge =
+            Bridge { sender, asked, journal, notices, places, numbers, next, event_types, reports, config };
         bridge.journal.all_owed().into_iter().for_each(|number| bridge.notices.push(number));
         let known = std::mem::take(&mut bridge.config.known.hosts);
         bridge.list(now, &News { seq: 0, whole: true, hosts: known }, true);
@@ -155,7 +142,6 @@
 
     /// A webhook is handed in. The number is there where it was taken on just now.
     pub fn hand_in(&mut self, now: f64, from: HandIn, body: Vec<u8>) -> (Reply, Option<u64>) {
-        self.now = now;
         // Handed in once more because its connection closed under it: it is taken on already.
         if self.numbers.contains_key(&from.id) {
             return (Reply::Taken, None);
@@ -192,15 +178,17 @@
 
     /// The client went away before it heard that its webhook is taken on.
     pub fn withdrawn(&mut self, now: f64, number: u64) {
-        self.now = now;
         self.close(number, End::Over);
         self.sender.withdrawn(now, number, &mut self.asked);
         self.settle();
     }
 
     pub fn list(&mut self, now: f64, news: &News, remembered: bool) {
-        self.now = now;
         let mut entries = Vec::new();
+        if news.whole {
+            // Those that left are not called any more; what is on its way has its address already.
+            self.places.retain(|host, _| news.hosts.iter().any(|h| h.host == *host));
+        }
         for h in &news.hosts {
             let (dial, zone, batch) = (h.dial, h.site.clone(), self.config.batch(&h.kind));
             let old = self.places.insert(h.host.clone(), Place { dial, zone, batch });
@@ -222,27 +210,23 @@
 
     /// The list could not be had.
     pub fn no_list(&mut self, now: f64) {
-        self.now = now;
         self.sender.list(now, ListMode::Refused, &[], &mut self.asked);
         self.settle();
     }
 
     pub fn woken(&mut self, now: f64) {
-        self.now = now;
         self.sender.woken(now, 0, &mut self.asked);
         self.settle();
     }
 
     /// The process will end; what is not back by then may have run.
     pub fn closing(&mut self, now: f64, by: f64) {
-        self.now = now;
         self.sender.closing(now, by, &mut self.asked);
         self.settle();
     }
 
     /// A call ended, with one ending for each of its webhooks.
     pub fn ended(&mut self, now: f64, call: &Call, endings: &[Ending], report: Option<(f64, f64)>) {
-        self.now = now;
         let report = report.filter(|_| self.reports);
         for ((number, _), ending) in call.webhooks.iter().zip(endings) {
             let may_run = matches!(
@@ -270,7 +254,7 @@
         for (number, ep, stop_at) in std::mem::take(&mut self.asked.attempts) {
             let (bytes, written) = (Vec::new(), false);
             let id = self.journal.open_webhook(number).map(|w| w.id.clone());
-            let batch = self.places.get(&ep).map_or(1, |p| p.batch);
+            let (batch, zone) = self.places.get(&ep).map_or((1, ""), |p| (p.batch, &p.zone));
             let joins = calls.iter_mut().rev().find(|c| c.ep == ep).filter(|c| c.webhooks.len() < batch);
             match (id, joins) {
                 (Some(id), Some(call)) => {
@@ -280,7 +264,8 @@
                 (id, _) => {
                     let list = if id.is_some() { &mut calls } else { &mut not_made };
                     let webhooks = vec![(number, id.unwrap_or_default())];
-                    list.push(Call { ep, webhooks, decided_at: now, stop_at, bytes, written });
+                    let zone = zone.to_owned();
+                    list.push(Call { ep, zone, webhooks, decided_at: now, stop_at, bytes, written });
                 }
             }
         }
@@ -294,8 +279,8 @@
                 None if call.webhooks.len() > 1 => {
                     // Together they are too long for a body: the first goes, the others count as not sent.
                     let rest = call.webhooks.split_off(1);
-                    let (ep, bytes) = (call.ep.clone(), Vec::new());
-                    not_made.push(Call { ep, webhooks: rest, bytes, ..call });
+                    let (ep, zone, bytes) = (call.ep.clone(), call.zone.clone(), Vec::new());
+                    not_made.push(Call { ep, zone, webhooks: rest, bytes, ..call });
                     if let Some(bytes) = endpoints::encode(&loads[..1], &host, call.stop_at - now) {
                         calls.push(Call { bytes, ..call });
                     }
@@ -308,9 +293,8 @@
 
     /// A call is about to be written. False where that cannot be put down: then it must not go out.
     pub fn going_out(&mut self, now: f64, call: &Call) -> bool {
-        let zone = self.places.get(&call.ep).map_or("", |p| p.zone.as_str());
         for (number, _) in &call.webhooks {
-            if let Err(e) = self.journal.out(*number, zone, now) {
+            if let Err(e) = self.journal.out(*number, &call.zone, now) {
                 error!(code = "journal-write", %e, "an attempt could not be written down and is not made");
                 return false;
             }
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -23,6 +23,7 @@
 pub struct Limits {
     pub sockets: usize,
     pub disk_mb: f64,
+    pub memory_mb: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -157,6 +158,7 @@
         let at = |field: &str, ok: bool, why| if ok { Ok(()) } else { Err((field.to_owned(), why)) };
         at("limits.sockets", self.limits.sockets >= 64, "must be 64 at least")?;
         at("limits.disk_mb", self.limits.disk_mb >= 0.25, "must be 0.25 at least")?;
+        at("limits.memory_mb", self.limits.memory_mb.is_none_or(|m| m >= 32.0), "must be 32 at least")?;
         at("settings.instances", s.instances > 0, "must be above zero")?;
         at("settings.classes", !s.classes.is_empty(), "names no event type")?;
         at("settings.family-info.slots", s.family_info.slots > 0, "must be above zero")?;
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -25,6 +25,9 @@
 
 /// Descriptors for the poll, the listener, signals, journal files, standard streams, list and notices.
 const OWN_DESCRIPTORS: usize = 20;
+/// What one connection may take up at worst: buffers for a head and a body, grown by doubling. All together may use
+/// half of the memory.
+const LINK_MEMORY: f64 = 160.0 * 1024.0;
 /// Bytes read from one connection before others have their turn.
 const READ_STEP: usize = 64 * 1024;
 const STEPS: usize = 4;
@@ -39,6 +42,8 @@
 const LINGER: f64 = 1.0;
 /// An endpoint's idle connection is given up so long before the endpoint closes it.
 const IDLE_MARGIN: f64 = 0.25;
+/// Before another try where no connection can be accepted, as when the system is short of descriptors.
+const ACCEPT_PAUSE: f64 = 0.1;
 /// Between two tries to reach the platform's list.
 const LIST_PAUSE: f64 = 0.1;
 /// From SIGTERM to the end: the platform kills after 3.7 s.
@@ -122,6 +127,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Link(usize),
+    Accept,
     Wake,
     List,
     Notices,
@@ -171,6 +177,8 @@
     /// Connections with more to read, and whether more may wait to be accepted.
     again: BTreeSet<usize>,
     accept_again: bool,
+    /// Connections may wait for another one to end or to be between requests.
+    accept_waits: bool,
     /// When the process ends, once it was asked to.
     closing: Option<f64>,
     scratch: Vec<u8>,
@@ -188,7 +196,8 @@
             dropped, "bytes of an unfinished record at the journal's end are dropped"
         );
     }
-    let (listen, discovery, sockets) = (config.listen, config.discovery, config.limits.sockets);
+    let (listen, discovery) = (config.listen, config.discovery);
+    let (sockets, memory) = (config.limits.sockets, config.limits.memory_mb);
     let name = config.name.clone();
     let list_wanted = !config.asks();
     let bridge = Bridge::open(config, journal, now);
@@ -202,7 +211,9 @@
     poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
     poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
     info!(name, %listen, "serving");
-    let most_lines = (sockets - OWN_DESCRIPTORS) / 2;
+    let most_links = memory.map_or(usize::MAX, |mb| (mb * 1e6 / 2.0 / LINK_MEMORY) as usize);
+    let most_links = most_links.min(sockets - OWN_DESCRIPTORS);
+    let most_lines = most_links / 2;
     let mut driver = Driver {
         poll,
         listener,
@@ -214,7 +225,7 @@
         next_link: FIRST_LINK,
         clients: 0,
         lines: 0,
-        most_clients: sockets - OWN_DESCRIPTORS - most_lines,
+        most_clients: most_links - most_lines,
         most_lines,
         bridge,
         pool: Pool::default(),
@@ -228,6 +239,7 @@
         notice_at: 0.0,
         again: BTreeSet::new(),
         accept_again: false,
+        accept_waits: false,
         closing: None,
         scratch: vec![0; READ_STEP],
     };
@@ -281,16 +293,17 @@
                 let endings = vec![Ending::from(outcome); call.webhooks.len()];
                 self.bridge.ended(self.now, &call, &endings, None);
             }
-            let mut ready = std::mem::take(&mut self.again);
+            let again = std::mem::take(&mut self.again);
             let mut accept = std::mem::take(&mut self.accept_again);
             for event in &events {
                 match event.token() {
                     LISTENER => accept = true,
                     SIGNALS => self.signalled(),
-                    Token(link) => _ = ready.insert(link),
+                    // In the order in which it came: webhooks with one order key go in that order.
+                    Token(link) => self.ready(link),
                 }
             }
-            for link in ready {
+            for link in again {
                 self.ready(link);
             }
             if accept {
@@ -330,6 +343,7 @@
                         self.overdue(link);
                     }
                 }
+                Due::Accept => self.accept_again = true,
                 Due::Wake => self.bridge.woken(self.now),
                 Due::List => self.list_wanted = true,
                 // Looked at when the turn ends.
@@ -431,7 +445,7 @@
         match l.peer {
             Peer::Client(client) => {
                 self.clients -= 1;
-                self.accept_again = true;
+                self.accept_again |= self.accept_waits;
                 if let Some(number) = client.unheard {
                     self.bridge.withdrawn(self.now, number);
                 }
@@ -516,9 +530,10 @@
     // ---- clients ----
 
     fn accept(&mut self) {
+        self.accept_waits = false;
         for _ in 0..MOST_AT_ONCE {
             if self.clients >= self.most_clients && !self.close_idle_client() {
-                // Those that wait are accepted when a connection ends.
+                self.accept_waits = true;
                 return;
             }
             match self.listener.accept() {
@@ -529,8 +544,12 @@
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                // The one that waited is gone, or descriptors are short for the moment.
-                Err(_) => {}
+                // The one that waited is gone.
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    warn!(code = "accept", %e, "no connection can be accepted");
+                    return self.at(self.now + ACCEPT_PAUSE, Due::Accept);
+                }
             }
         }
         self.accept_again = true;
@@ -624,6 +643,7 @@
         if old != stage {
             self.set_due(link, self.now + within);
         }
+        self.accept_again |= self.accept_waits && stage == Stage::Idle;
     }
 
     // ---- endpoints ----
--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -118,6 +118,7 @@
 #[derive(Debug)]
 pub struct Call {
     pub ep: String,
+    pub zone: String,
     /// The webhooks in it, by number and id.
     pub webhooks: Vec<(u64, String)>,
     /// When it was decided, and when it is given up.
@@ -273,8 +274,8 @@
             ("HTTP/1.1 503 No\r\n", false, 1, Outcome::Full(0.0)),
         ] {
             let webhooks: Vec<_> = ["a", "b"][..count].iter().map(|id| (1, id.to_string())).collect();
-            let (ep, bytes) = (String::from("e"), Vec::new());
-            let call = Call { ep: ep.clone(), webhooks, decided_at: 0.0, stop_at: 1.0, bytes, written };
+            let (ep, zone, bytes) = (String::from("e"), String::new(), Vec::new());
+            let call = Call { ep: ep.clone(), zone, webhooks, decided_at: 0.0, stop_at: 1.0, bytes, written };
             let mut line = Line::new(ep);
             line.decoder.feed(came.as_bytes());
             let _ = line.decoder.message();
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -9,7 +9,7 @@
 /// A list of ten thousand endpoints takes about 2 MB.
 const MOST_LIST: usize = 4 * 1024 * 1024;
 /// An agent answers at once; one that has said nothing for so long is silent.
-const PATIENCE: f64 = 2.0;
+const PATIENCE: f64 = 1.0;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
--- a/crates/sender/src/main.rs
+++ b/crates/sender/src/main.rs
@@ -41,7 +41,9 @@
 }
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    // A log that cannot be written must not end the process.
+    log.log_internal_errors(false).init();
     let done = match command().run() {
         Command::Version => {
             println!("scalebarrow {}", env!("CARGO_PKG_VERSION"));
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -339,3 +339,51 @@
         ),
     ]);
 }
+
+#[test]
+fn a_restart() {
+    check(&[
+        (
+            "what may have run and must not run twice is dead-lettered",
+            ONE,
+            "0 list a:z:plain:50\n0 resume 1 once 1 z:-1",
+            &[Acts(&["0.0 dead 1"])],
+        ),
+        (
+            "what has not run goes out like any other",
+            ONE,
+            "0 list a:z:plain:50\n0 resume 1 once 1",
+            &[Acts(&["0.0 send 1 a"])],
+        ),
+        (
+            "a tokened one stays in the zone where it may have run",
+            ONE,
+            "0 list a:y:plain:50 b:z:plain:50\n0 resume 1 token 1 z:-1",
+            &[Acts(&["0.0 send 1 b"])],
+        ),
+        (
+            "and is not sent again once its token is forgotten",
+            ONE,
+            "0 list a:z:plain:50\n0 resume 1 token 1 z:-4",
+            &[Acts(&["0.0 dead 1"])],
+        ),
+        (
+            "attempts made before count",
+            ONE,
+            "0 list a:z:plain:50\n0 resume 1 idem 6 z:-1",
+            &[Acts(&["0.0 reject 1 0.5"])],
+        ),
+        (
+            "the key of one that may still run rests for those behind it",
+            ONE,
+            "0 list a:z:plain:50\n0 resume 1 line 6 z:-1 k\n0 resume 2 line 0 - k\n0.25 pass\n0.4 pass",
+            &[Has(&["0.0 reject 1 0.5"]), Sends(0.0, 0.25, 0..=0), Sends(0.3, 0.4, 1..=1)],
+        ),
+        (
+            "before a planned end nothing goes out that may not be back in time",
+            ONE,
+            "0 list a:z:plain:50\n0 closing 3\n2 hand 1 idem\n2.5 hand 2 idem\n3 pass",
+            &[Acts(&["2.0 send 1 a"])],
+        ),
+    ]);
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -64,7 +64,8 @@
 }
 
 /// Steps, one a line: `TIME list EP:ZONE:KIND:RATE[:gone] ..`, `TIME changes ..`, `TIME refused`,
-/// `TIME hand ID EVT [KEY]`, `TIME end ID EP OUTCOME [WAIT [LEFT:LIMIT]]`, `TIME gone ID`, `TIME pass`. All for destination 1.
+/// `TIME hand ID EVT [KEY]`, `TIME end ID EP OUTCOME [WAIT [LEFT:LIMIT]]`, `TIME gone ID`, `TIME pass`,
+/// `TIME resume ID EVT TRIES [ZONE:TIME [KEY]]` (`-` for no zone), `TIME closing BY`. All for destination 1.
 /// Wake-ups come when they are due. Returns the actions, each with its time.
 pub fn play(slots: usize, holds: usize, senders: u64, ask: bool, script: &str) -> Vec<String> {
     let (mut s, mut desk) = (sender(slots, holds, senders, ask), Desk::default());
@@ -114,6 +115,13 @@
                 s.outcome(t, id, words[3], outcome, took, words[4] == "ok", report, &mut desk);
             }
             "gone" => s.withdrawn(t, id, &mut desk),
+            "resume" => {
+                let ran = words.get(5).and_then(|w| w.split_once(':'));
+                let ran = ran.map(|(zone, at)| (zone, at.parse().unwrap()));
+                let (tries, key) = (words[4].parse().unwrap(), words.get(6).copied());
+                s.resumed(t, id, words[3], 1, key, None, 8.0, tries, ran, &mut desk);
+            }
+            "closing" => s.closing(t, words[2].parse().unwrap(), &mut desk),
             _ => {}
         }
         for act in &desk.acts {
