An endpoint that answers stays out of the outage of one beside it that refuses connections

Refused and late webhooks from 7 s on, few attempts.

Lines at fault: logic.rs, end_call: self.mark_outage(&scope, sent_at). Now the row's first bad answer counts, two seconds ago at most, and a good call must have been sent after it. Harm: an endpoint that went down within two seconds of its last good answer is slowed down only by its own failures. Test: an_outage_of_one_endpoint (fails on the module before).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -465,9 +465,7 @@
             return;
         };
         let first = self.first_window();
-        if let Some(r) = self.routes.get_mut(&ep)
-            && r.ready
-        {
+        if let Some(r) = self.routes.get_mut(&ep).filter(|r| r.ready) {
             r.samples.clear();
             (r.bad_row, r.open, r.window) = (0, false, first);
         } else if let Some(r) = self.routes.remove(&ep)
@@ -568,13 +566,13 @@
         }
     }
 
-    /// An outage was seen in a scope: all its routes not answering well since `since` may come back cold.
+    /// An outage was seen in a scope: its routes where no call sent after `since` went well come back cold.
     fn mark_outage(&mut self, scope: &Scope, since: f64) {
         let all = || self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice);
         let eps = scope.1.as_ref().map_or_else(all, std::slice::from_ref);
         for ep in eps {
             if let Some(r) = self.routes.get_mut(ep)
-                && !r.samples.iter().any(|s| s.good && s.at >= since)
+                && !r.samples.iter().any(|s| s.good && s.at - s.took >= since)
             {
                 (r.outage, r.back) = (true, None);
             }
@@ -760,13 +758,15 @@
         {
             r.cooling = if std::mem::replace(&mut r.open, true) { (r.cooling * 1.5).min(2.0) } else { 0.5 };
             let (cooling, bad_row, since) = (r.cooling, r.bad_row, r.bad_since);
+            let row_at = r.samples.iter().rev().take_while(|s| !s.good).last().map_or(now, |s| s.at);
             let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0, 1.0).1;
             if let Some(r) = self.routes.get_mut(&ep) {
                 r.trial_at = now + (cooling * (0.75 + 0.5 * jitter)).max(turn * (0.2 + 1.6 * jitter));
             }
             // One lost call more, or a failed trial, and it is an outage; fewer can be chance.
             if trial || bad_row >= 3 {
-                self.mark_outage(&scope, sent_at);
+                // What went well since the row began (two seconds at most) is up, however fast this failed.
+                self.mark_outage(&scope, row_at.max(now - 2.0));
             }
         }
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -387,3 +387,15 @@
         ),
     ]);
 }
+
+#[test]
+fn an_outage_of_one_endpoint() {
+    check(&[(
+        // A refused connect ends in the turn it began in: nothing else can have gone well meanwhile, and the endpoint
+        // beside it got a call a second like one that comes back.
+        "the endpoint that answers is not slowed down",
+        ONE,
+        "0 list a:z:plain:4 b:z:plain:4\n0 hand 1 idem\n0.1 end 1 a ok\n0.2 hand 2 idem\n0.2 end 2 a noconn\n0.4 pass\n0.4 end 2 a noconn\n0.7 pass\n0.8 end 2 b ok\n2 hand 3 idem\n2 end 3 a noconn\n2.2 pass\n2.3 end 3 b ok\n2.4 hand 4 idem\n2.5 end 4 b ok\n2.6 hand 5 idem\n2.7 pass",
+        &[Has(&["2.0 send 3 a", "2.4 send 4 b", "2.6 send 5 b"])],
+    )]);
+}
