What has happened counts though it cannot be written; a turn's leftovers are not waited on

Outcomes, answers and acknowledgements now count in memory, and the file is written anew before the next record; takings and attempts still count only when written. Test: a_write_that_fails_leaves_no_half_record.

driver.rs, run: a call ended while a turn was being wrapped up (a call-off, a write that fails) made the module ask for a wake-up that was set only in the next turn, whenever that came. The loop now goes on at once while the bridge has work. No test: the window is one system call wide; the wait was bounded by the next timer.

driver.rs, set_due: each message left a timer in the heap for up to 75 s; now one a connection, put off when it comes.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -133,10 +133,11 @@
     fn close(&mut self, number: u64, end: End) {
         let Some(webhook) = self.journal.open_webhook(number) else { return };
         self.numbers.remove(&webhook.id);
-        match self.journal.end(number, end) {
-            Ok(()) if end == End::Over => {}
-            Ok(()) => self.notices.push(number),
-            Err(e) => error!(code = "journal-write", %e, "a final answer could not be written"),
+        if let Err(e) = self.journal.end(number, end) {
+            error!(code = "journal-write", %e, "a final answer could not be written; it may come again after a restart");
+        }
+        if end != End::Over {
+            self.notices.push(number);
         }
     }
 
@@ -322,6 +323,11 @@
         }
     }
 
+    /// The module asked for something that was not yet looked at.
+    pub fn has_work(&self) -> bool {
+        !self.asked.actions.is_empty() || !self.asked.attempts.is_empty()
+    }
+
     /// Nothing is held and nothing is owed.
     pub fn is_idle(&self) -> bool {
         self.numbers.is_empty() && self.notices.is_empty()
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -114,8 +114,9 @@
     up: bool,
     out: Vec<u8>,
     sent: usize,
-    /// When something must have happened.
+    /// When something must have happened, and when that is looked at next.
     due: f64,
+    timer: f64,
 }
 
 /// What a read brought.
@@ -281,7 +282,9 @@
         let mut events = Events::with_capacity(256);
         self.end_turn();
         loop {
-            let more = !self.again.is_empty() || !self.failed.is_empty() || self.accept_again;
+            // A call that ends while its turn does leads to something only in the next one.
+            let more = self.accept_again || self.bridge.has_work();
+            let more = more || !self.again.is_empty() || !self.failed.is_empty();
             let now = micros(self.clock.now());
             let next = self.timers.peek().map(|Reverse((at, _))| at.saturating_sub(now));
             let wait = if more { Some(0) } else { next };
@@ -326,8 +329,11 @@
     }
 
     fn set_due(&mut self, link: usize, at: f64) {
-        if let Some(l) = self.links.get_mut(&link) {
-            l.due = at;
+        let Some(l) = self.links.get_mut(&link) else { return };
+        l.due = at;
+        // One that is put off is looked at when its timer comes: a timer for each message would pile up.
+        if at < l.timer {
+            l.timer = at;
             self.at(at, Due::Link(link));
         }
     }
@@ -340,9 +346,11 @@
             self.timers.pop();
             match due {
                 Due::Link(link) => {
-                    if self.links.get(&link).is_some_and(|l| l.due <= self.now) {
-                        self.overdue(link);
-                    }
+                    let Some(l) = self.links.get_mut(&link) else { continue };
+                    l.timer = f64::INFINITY;
+                    let due = l.due;
+                    // Compared as whole numbers, as the timers are: a rounded time must not come round for ever.
+                    if micros(due) <= at { self.overdue(link) } else { self.set_due(link, due) }
                 }
                 Due::Accept => self.accept_again = true,
                 Due::Wake => self.bridge.woken(self.now),
@@ -428,8 +436,8 @@
             Peer::Endpoint(_) => self.lines += 1,
             _ => {}
         }
-        let (out, sent, due) = (Vec::new(), 0, f64::INFINITY);
-        self.links.insert(link, Link { stream, addr, peer, up, out, sent, due });
+        let (out, sent, due, timer) = (Vec::new(), 0, f64::INFINITY, f64::INFINITY);
+        self.links.insert(link, Link { stream, addr, peer, up, out, sent, due, timer });
         Ok(link)
     }
 
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -80,7 +80,7 @@
     most: usize,
     entries: BTreeMap<u64, Entry>,
     next: u64,
-    /// A write failed and left the file in doubt: it has to be written anew first.
+    /// A write failed, and half of a record may stand at the end: the file has to be written anew first.
     in_doubt: bool,
 }
 
@@ -190,22 +190,27 @@
         }
     }
 
-    /// One more record. It is in the file as a whole when this returns, or not at all.
+    /// One more record. It is in the file as a whole when this returns, or not at all. What is promised to others
+    /// counts only once it is written; what has happened counts also if it cannot be, until the file is written anew.
     fn append(&mut self, record: Record) -> io::Result<()> {
         let bytes = frame(&record)?;
+        let written = self.write(&bytes);
+        self.in_doubt |= written.is_err();
+        if written.is_ok() || !matches!(record, Record::Taken(..) | Record::Out(..)) {
+            self.apply(record, bytes.len());
+        }
+        written
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         if self.in_doubt || self.size + bytes.len() + self.live > self.most {
             self.compact()?;
         }
         if self.size + bytes.len() > self.most {
             return Err(io::ErrorKind::StorageFull.into());
         }
-        if let Err(e) = self.file.write_all(&bytes) {
-            // What was written of it must not stand before the next record.
-            self.in_doubt = self.file.set_len(self.size as u64).is_err();
-            return Err(e);
-        }
+        self.file.write_all(bytes)?;
         self.size += bytes.len();
-        self.apply(record, bytes.len());
         Ok(())
     }
 
@@ -432,6 +437,10 @@
         let sound = std::mem::replace(&mut journal.file, File::open(folder.join("journal")).unwrap());
         assert!(journal.take(2, webhook("b", 10)).is_err());
         assert_eq!(state(&journal).len(), 1);
+        // What has happened counts all the same.
+        journal.in_doubt = false;
+        assert!(journal.end(1, End::DeadLettered).is_err());
+        assert_eq!(journal.owed(1), Some(("a", End::DeadLettered)));
         // In doubt, it is written anew before anything more goes in.
         journal.take(3, webhook("c", 10)).unwrap();
         drop(sound);
