--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -188,9 +188,11 @@
         let mut entries = Vec::new();
         if news.whole {
             // Those that left are not called any more; what is on its way has its address already.
-            self.places.retain(|host, _| news.hosts.iter().any(|h| h.host == *host));
+            let listed: BTreeSet<&str> = news.hosts.iter().map(|h| h.host.as_str()).collect();
+            self.places.retain(|host, _| listed.contains(host.as_str()));
         }
         for h in &news.hosts {
+            let Some(dest) = h.dest else { continue };
             let (dial, zone, batch) = (h.dial, h.site.clone(), self.config.batch(&h.kind));
             let old = self.places.insert(h.host.clone(), Place { dial, zone, batch });
             if old.is_some_and(|p| p.dial != dial) {
@@ -198,7 +200,7 @@
             }
             let ready = h.health == Health::Serving;
             let (ep, zone, kind) = (h.host.as_str(), h.site.as_str(), h.kind.as_str());
-            entries.push(Entry { ep, zone, kind, dest: h.dest, ready, rate: h.rate });
+            entries.push(Entry { ep, zone, kind, dest, ready, rate: h.rate.unwrap_or(0.0) });
         }
         let mode = match (remembered, news.whole) {
             (true, _) => ListMode::Remembered,
--- a/crates/sender/src/http.rs
+++ b/crates/sender/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 framing as a state machine: bytes go in, messages come out. It knows no socket and no peer.
 
-use httparse::{EMPTY_HEADER, Error, Header, Status, parse_chunk_size};
+use httparse::Status::{Complete, Partial};
+use httparse::{EMPTY_HEADER, Error, Header, parse_chunk_size};
 
 /// The protocol's limit for the body of a webhook or call.
 pub const MOST_BODY: usize = 64 * 1024;
@@ -61,6 +62,15 @@
     fn decode(start: &Start, fields: &Fields) -> Self;
 }
 
+/// The head of an answer of which only the status counts.
+pub struct Status(pub u16);
+
+impl Head for Status {
+    fn decode(start: &Start, _: &Fields) -> Self {
+        Status(if let Start::Answer { status } = start { *status } else { 0 })
+    }
+}
+
 #[derive(Debug)]
 pub struct Message<H> {
     pub head: H,
@@ -154,7 +164,7 @@
                     }
                 }
                 Framing::ChunkSize => match parse_chunk_size(&self.buf) {
-                    Ok(Status::Complete((line, size))) => {
+                    Ok(Complete((line, size))) => {
                         if size > (self.most_body - self.body.len()) as u64 {
                             return Err(Fault::BodyTooBig);
                         }
@@ -162,7 +172,7 @@
                         self.framing =
                             if size == 0 { Framing::Trailer } else { Framing::Chunk(size as usize) };
                     }
-                    Ok(Status::Partial) if self.buf.len() < MOST_CHUNK_LINE => return Ok(None),
+                    Ok(Partial) if self.buf.len() < MOST_CHUNK_LINE => return Ok(None),
                     _ => return Err(Fault::Malformed),
                 },
                 Framing::ChunkEnd => {
@@ -236,8 +246,8 @@
             fields = Fields(request.headers);
         }
         let size = match status {
-            Ok(Status::Complete(size)) if size <= MOST_HEAD => size,
-            Ok(Status::Partial) if self.buf.len() <= MOST_HEAD => {
+            Ok(Complete(size)) if size <= MOST_HEAD => size,
+            Ok(Partial) if self.buf.len() <= MOST_HEAD => {
                 self.seen = self.buf.len();
                 return Ok(false);
             }
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -1,6 +1,6 @@
 //! The platform's list of endpoints: how it is asked for, and what it says.
 
-use crate::http::{Decoder, Fault, Fields, Head, Start};
+use crate::http::{Decoder, Fault, Status};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -27,11 +27,12 @@
     pub site: String,
     #[serde(rename = "class")]
     pub kind: String,
+    /// An endpoint of no destination gets no calls.
     #[serde(rename = "block")]
-    pub dest: u64,
+    pub dest: Option<u64>,
     pub health: Health,
-    #[serde(rename = "share", default)]
-    pub rate: f64,
+    #[serde(rename = "share")]
+    pub rate: Option<f64>,
 }
 
 /// A list, or what changed in it.
@@ -42,14 +43,6 @@
     pub hosts: Vec<Host>,
 }
 
-struct Status(u16);
-
-impl Head for Status {
-    fn decode(start: &Start, _: &Fields) -> Self {
-        Status(if let Start::Answer { status } = start { *status } else { 0 })
-    }
-}
-
 /// Which call is due or out: the whole list first, then watches from the version it had.
 pub struct List {
     decoder: Decoder<Status>,
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -1,6 +1,6 @@
 //! Notices to the platform: final answers of webhooks that were taken on and not delivered.
 
-use crate::http::{Decoder, Fault, Fields, Head, Start};
+use crate::http::{Decoder, Fault, Status};
 use crate::journal::End;
 use serde::Serialize;
 use std::collections::VecDeque;
@@ -22,14 +22,6 @@
     after_ms: Option<u64>,
 }
 
-struct Status(u16);
-
-impl Head for Status {
-    fn decode(start: &Start, _: &Fields) -> Self {
-        Status(if let Start::Answer { status } = start { *status } else { 0 })
-    }
-}
-
 /// What is due, in order, and what is out. A notice is repeated until it is acknowledged.
 pub struct Notices {
     decoder: Decoder<Status>,
--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -404,7 +404,10 @@
     goes_to(&a);
     // Changes in one piece; a watch that is renewed after each; garbage keeps what was known.
     let drains = host("a", a.at, "plain", "DRAINING");
-    platform.tell(list(2, false, &[drains, host("b", b.at, "plain", "SERVING")]));
+    let (none, b_listed) = (host("d", b.at, "plain", "SERVING"), host("b", b.at, "plain", "SERVING"));
+    // One of no destination and one without a rate do not spoil the rest.
+    let none = none.replace("\"block\":1", "\"block\":null");
+    platform.tell(list(2, false, &[drains, none, b_listed.replace("\"share\":50.0", "\"share\":null")]));
     let since = Instant::now();
     while b.calls.try_recv().is_err() {
         assert!(since.elapsed() < LONG, "the change is not followed");
