Start-up errors name the folder or address; an unknown command exits with 2

Seen by hand: an address that is taken ended the program with the system's words alone, and a command line that cannot be read with 1. Test: a_wrong_configuration_is_named_in_one_line.

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -191,7 +191,8 @@
     let clock = Clock::start();
     let now = clock.now();
     let most = (config.limits.disk_mb * 1e6) as usize;
-    let (journal, dropped) = Journal::open(state, most)?;
+    let named = |name: String| move |e: io::Error| io::Error::new(e.kind(), format!("{name}: {e}"));
+    let (journal, dropped) = Journal::open(state, most).map_err(named(state.display().to_string()))?;
     if dropped > 0 {
         warn!(
             code = "journal-torn",
@@ -204,7 +205,7 @@
     let list_wanted = !config.asks();
     let bridge = Bridge::open(config, journal, now);
     // All that was taken on is back in the module: only now can a client reach this sender.
-    let mut listener = TcpListener::bind(listen)?;
+    let mut listener = TcpListener::bind(listen).map_err(named(format!("listen on {listen}")))?;
     let (signal_end, mut signals) = UnixStream::pair()?;
     let signal_end = std::os::fd::OwnedFd::from(signal_end);
     signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, signal_end.try_clone()?)?;
--- a/crates/sender/src/main.rs
+++ b/crates/sender/src/main.rs
@@ -44,7 +44,14 @@
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
     // A log that cannot be written must not end the process.
     log.log_internal_errors(false).init();
-    let done = match command().run() {
+    let command = match command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => {
+            failure.print_message(100);
+            return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
+        }
+    };
+    let done = match command {
         Command::Version => {
             println!("scalebarrow {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -453,5 +453,14 @@
         }
     }
     assert!(run("check", &good).status.success());
+    // What only shows when it starts is named as well, and so is a command that is not known.
+    let taken = Endpoint::start(|_, _| Deed::Silence).at;
+    let away = helpers::config(taken, address(), EMPTY);
+    for (sub, config, code, named) in [("serve", &away, 1, "listen on"), ("surf", &good, 2, "surf")] {
+        let output = run(sub, config);
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(code), "{text}");
+        assert!(text.contains(named), "{text}");
+    }
     assert!(String::from_utf8(run("version", "").stdout).unwrap().starts_with("scalebarrow 0"));
 }
