Test: what comes too late before a planned end waits for the next life

A fault put in on purpose (the module not told of the end) was seen by no test of the program; it is by this one. A first try that handed in webhooks without pause did not tell the two apart, as pace held some back anyway, and was dropped.

--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -276,6 +276,25 @@
     assert!(since.elapsed() < Duration::from_millis(3700));
 }
 
+#[test]
+fn what_comes_too_late_before_a_planned_end_waits_for_the_next_life() {
+    let (endpoint, _platform, mut program) = with_endpoint("plain", &[], |_, _| Deed::Say(OK));
+    let mut idle = program.connect();
+    program.signal("TERM");
+    let since = Instant::now();
+    assert!(hear(&mut idle).is_none());
+    // A client that stays keeps the program from ending as soon as it has nothing to do.
+    let _stays = program.connect();
+    // The end comes 3.3 s after the signal. Nothing is known of the endpoint, so a call is given 0.6 s: this is
+    // in the middle of that.
+    std::thread::sleep(Duration::from_millis(2950).saturating_sub(since.elapsed()));
+    assert_eq!(program.hand_in("idem", "x", 8000, b""), 202);
+    assert!(program.wait().success());
+    assert!(endpoint.calls.try_recv().is_err(), "it went out right before the end");
+    program.restart();
+    assert_eq!(endpoint.call().id(), "x");
+}
+
 #[test]
 fn an_end_with_a_call_out_leaves_in_time_and_the_next_life_answers_for_it() {
     let (endpoint, platform, mut program) = with_endpoint("plain", &[], |_, _| Deed::Silence);
