Tests no longer race: repeats after a kill, order over connections, interrupted reads

Causes: a kill right after an answer may rightly make the webhook go out again (the test took it for left over); two webhooks over two connections may be heard in either order; a plain read in the stand-ins took an interrupted system call for the end of the connection (found by printing the error; the program's log showed that the test had closed first). The program is unchanged. What it logs is kept beside its state for a failed test.

--- a/crates/sender/tests/helpers/mod.rs
+++ b/crates/sender/tests/helpers/mod.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::process::{Child, Command, ExitStatus, Output};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
@@ -48,10 +48,9 @@
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => head.push(byte[0]),
-            _ => return None,
-        }
+        // Unlike a plain read it goes on after an interruption.
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
     }
     let mut heard = Heard { head: String::from_utf8(head).unwrap(), body: Vec::new(), at: Instant::now() };
     let size = heard.field("Content-Length").map_or(0, |l| l.parse().unwrap());
@@ -255,7 +254,9 @@
     }
 
     fn spawn(folder: &Path, listen: SocketAddr) -> Child {
-        let child = command(folder, "serve").stderr(Stdio::null()).spawn().unwrap();
+        // What it logs is kept beside its state, to be read after a test has failed.
+        let log = std::fs::File::options().create(true).append(true).open(folder.join("log")).unwrap();
+        let child = command(folder, "serve").stderr(log).spawn().unwrap();
         let since = Instant::now();
         // It listens only once it is ready.
         while TcpStream::connect(listen).is_err() {
--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -233,8 +233,7 @@
     let mut again = [endpoint.call(), endpoint.call()].map(|c| (c.id(), c.body));
     again.sort();
     assert_eq!(again, [("i".into(), b"i".to_vec()), ("t".into(), b"t".to_vec())]);
-    // Nothing is left over from either life.
-    program.restart();
+    // Nothing more comes for any of them.
     assert_eq!(program.hand_in("idem", "y", 8000, b""), 202);
     assert_eq!(endpoint.call().id(), "y");
     assert!(platform.notices.try_recv().is_err());
@@ -270,7 +269,9 @@
     fresh.write_all(&hand_in("idem", "after", 8000, b"")).unwrap();
     let answer = hear(&mut fresh).unwrap();
     assert_eq!((answer.status(), answer.field("Connection")), (202, Some("close")));
-    assert_eq!([endpoint.call().id(), endpoint.call().id()], ["before", "after"]);
+    // Over two connections: either may be heard first.
+    let called = BTreeSet::from([endpoint.call().id(), endpoint.call().id()]);
+    assert_eq!(called, BTreeSet::from(["before".into(), "after".into()]));
     drop((idle, fresh));
     assert!(program.wait().success());
     assert!(since.elapsed() < Duration::from_millis(3700));
