--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -445,6 +445,28 @@
     }
 }
 
+#[test]
+fn a_silent_platform_is_asked_again_and_what_is_known_serves() {
+    let (endpoint, silent) = (Endpoint::start(|_, _| Deed::Say(OK)), Endpoint::start(|_, _| Deed::Silence));
+    let known = list(1, true, &[host("a", endpoint.at, "plain", "SERVING")]);
+    let platform = Platform::start(known.clone(), 0);
+    let (talks, is_silent) = (platform.at.to_string(), silent.at.to_string());
+    let program = Program::start(&platform, &known, &[(&talks, &is_silent)]);
+    assert_eq!(program.hand_in("idem", "x", 8000, b""), 202);
+    assert_eq!(endpoint.call().id(), "x");
+    // One for a destination that is not listed is owed a notice.
+    let lost = String::from_utf8(hand_in("idem", "y", 100, b"")).unwrap().replace("dest=1", "dest=2");
+    assert_eq!(say(program.listen, lost.as_bytes()).unwrap().status(), 202);
+    let (mut lists, mut notices) = (0, 0);
+    while lists < 2 || notices < 2 {
+        let call = silent.call();
+        lists += usize::from(call.head.starts_with("GET /v1/endpoints HTTP/1.1"));
+        notices += usize::from(
+            call.head.starts_with("POST /v1/outcomes ") && call.body.starts_with(b"{\"id\":\"y\""),
+        );
+    }
+}
+
 #[test]
 fn a_wrong_configuration_is_named_in_one_line() {
     let good = helpers::config(address(), address(), EMPTY);
