SIGHUP re-reads the configuration and moves list, watch and notices

At fault: driver.rs `serve` registered SIGTERM and SIGINT only, and `discovery` was fixed at the start.

Now a second pipe carries SIGHUP. The file is read and checked as at the start; a faulty one leaves all as it was and one line names the field. Limits and settings count from then on. Where the address changed, the whole list is asked for there, notices that were out are due again, and both old connections close. The new test fails without the change: the process ends by the signal.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -111,6 +111,14 @@
         bridge
     }
 
+    /// The configuration was read again. What is held and owed goes on.
+    pub fn reread(&mut self, config: Config) {
+        config.tell(&mut self.sender);
+        (self.reports, self.event_types) = (config.reports(), config.event_types());
+        self.journal.set_most(config.limits.disk());
+        self.config = config;
+    }
+
     pub fn config(&self) -> &Config {
         &self.config
     }
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
+use tracing::warn;
 
 #[derive(Debug, Deserialize)]
 pub struct Config {
@@ -126,6 +127,13 @@
     key_rest_ms: Option<f64>,
 }
 
+impl Limits {
+    /// What the folder may hold, in bytes.
+    pub fn disk(&self) -> usize {
+        (self.disk_mb * 1e6) as usize
+    }
+}
+
 fn hex<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
     let text = String::deserialize(from)?;
     u64::from_str_radix(&text, 16).map_err(|_| D::Error::custom("must be up to 16 hex digits"))
@@ -144,6 +152,17 @@
         Self::decode(&bytes)
     }
 
+    /// Reads it again while it serves. Where it listens and what it is called cannot change then.
+    pub fn reread(&self, path: &Path) -> Result<Config, String> {
+        let new = Self::read(path)?;
+        for (field, same) in [("listen", new.listen == self.listen), ("name", new.name == self.name)] {
+            if !same {
+                warn!(code = "config-later", field, "a changed value counts from the next start");
+            }
+        }
+        Ok(new)
+    }
+
     pub fn decode(bytes: &[u8]) -> Result<Config, String> {
         let mut from = serde_json::Deserializer::from_slice(bytes);
         let config: Config = serde_path_to_error::deserialize(&mut from)
@@ -196,8 +215,14 @@
 
     /// The module with all its settings, at clock time `now`.
     pub fn open(&self, now: f64) -> Sender {
+        let mut sender = Sender::open(now, self.seed, self.settings.me, self.settings.instances);
+        self.tell(&mut sender);
+        sender
+    }
+
+    /// Tells the module the settings, at the start or when they were read again.
+    pub fn tell(&self, sender: &mut Sender) {
         let s = &self.settings;
-        let mut sender = Sender::open(now, self.seed, s.me, s.instances);
         let halves = s.family_info.decay.as_deref() == Some("by_half");
         for c in &s.classes {
             let (target, ttl) = (c.aim_ms / 1e3, c.deadline_ms / 1e3);
@@ -231,7 +256,6 @@
         let (from, warm) = (s.rules.cold_from.unwrap_or(1.0), seconds(s.rules.cold_ms, 0.0));
         sender.set_cold(from, warm, s.rules.fall_multiple.unwrap_or(1e9));
         sender.set_key_rest(seconds(s.rules.key_rest_ms, 0.0));
-        sender
     }
 
     /// The list of endpoints comes only when it is asked for.
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -3,7 +3,7 @@
 
 use crate::bridge::{Action, Bridge};
 use crate::clients::{self, Client, Reply, Stage};
-use crate::config::Config;
+use crate::config::{Config, Limits};
 use crate::endpoints::{self, Answer, Call, Ending, Line, Pool};
 use crate::journal::Journal;
 use crate::list::List;
@@ -16,13 +16,14 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::{info, warn};
 
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
-const FIRST_LINK: usize = 2;
+const HANG_UPS: Token = Token(2);
+const FIRST_LINK: usize = 3;
 
 /// Descriptors for the poll, the listener, signals, journal files, standard streams, list and notices.
 const OWN_DESCRIPTORS: usize = 20;
@@ -60,6 +61,7 @@
     CalledOff,
     Closing,
     Idle,
+    Moved,
     NoRoom,
     NotUp,
     PeerClosed,
@@ -77,6 +79,7 @@
             Reason::CalledOff => "called-off",
             Reason::Closing => "closing",
             Reason::Idle => "idle",
+            Reason::Moved => "moved",
             Reason::NoRoom => "no-room",
             Reason::NotUp => "not-up",
             Reason::PeerClosed => "peer-closed",
@@ -154,6 +157,9 @@
     poll: Poll,
     listener: TcpListener,
     signals: UnixStream,
+    hang_ups: UnixStream,
+    /// The configuration's file.
+    path: PathBuf,
     clock: Clock,
     /// The time of this turn.
     now: f64,
@@ -186,11 +192,29 @@
     scratch: Vec<u8>,
 }
 
+/// The end of a pipe from which the signals can be read.
+fn signals(numbers: &[i32]) -> io::Result<UnixStream> {
+    let (write, read) = UnixStream::pair()?;
+    let write = std::os::fd::OwnedFd::from(write);
+    for number in numbers {
+        signal_hook::low_level::pipe::register(*number, write.try_clone()?)?;
+    }
+    Ok(read)
+}
+
+/// Connections of clients and of endpoints at most.
+fn most_links(limits: &Limits) -> (usize, usize) {
+    let most = limits.memory_mb.map_or(usize::MAX, |mb| (mb * 1e6 / 2.0 / LINK_MEMORY) as usize);
+    let most = most.min(limits.sockets - OWN_DESCRIPTORS);
+    (most - most / 2, most / 2)
+}
+
 /// Serves until SIGTERM.
-pub fn serve(config: Config, state: &Path) -> io::Result<()> {
+pub fn serve(config: Config, path: &Path, state: &Path) -> io::Result<()> {
     let clock = Clock::start();
     let now = clock.now();
-    let most = (config.limits.disk_mb * 1e6) as usize;
+    let mut hang_ups = signals(&[signal_hook::consts::SIGHUP])?;
+    let most = config.limits.disk();
     let named = |name: String| move |e: io::Error| io::Error::new(e.kind(), format!("{name}: {e}"));
     let (journal, dropped) = Journal::open(state, most).map_err(named(state.display().to_string()))?;
     if dropped > 0 {
@@ -200,27 +224,24 @@
         );
     }
     let (listen, discovery) = (config.listen, config.discovery);
-    let (sockets, memory) = (config.limits.sockets, config.limits.memory_mb);
+    let (most_clients, most_lines) = most_links(&config.limits);
     let name = config.name.clone();
     let list_wanted = !config.asks();
     let bridge = Bridge::open(config, journal, now);
     // All that was taken on is back in the module: only now can a client reach this sender.
     let mut listener = TcpListener::bind(listen).map_err(named(format!("listen on {listen}")))?;
-    let (signal_end, mut signals) = UnixStream::pair()?;
-    let signal_end = std::os::fd::OwnedFd::from(signal_end);
-    signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, signal_end.try_clone()?)?;
-    signal_hook::low_level::pipe::register(signal_hook::consts::SIGINT, signal_end)?;
+    let mut signals = signals(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
     let poll = Poll::new()?;
     poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
     poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+    poll.registry().register(&mut hang_ups, HANG_UPS, Interest::READABLE)?;
     info!(name, %listen, "serving");
-    let most_links = memory.map_or(usize::MAX, |mb| (mb * 1e6 / 2.0 / LINK_MEMORY) as usize);
-    let most_links = most_links.min(sockets - OWN_DESCRIPTORS);
-    let most_lines = most_links / 2;
     let mut driver = Driver {
         poll,
         listener,
         signals,
+        hang_ups,
+        path: path.to_owned(),
         clock,
         now,
         timers: BinaryHeap::new(),
@@ -228,7 +249,7 @@
         next_link: FIRST_LINK,
         clients: 0,
         lines: 0,
-        most_clients: most_links - most_lines,
+        most_clients,
         most_lines,
         bridge,
         pool: Pool::default(),
@@ -304,6 +325,7 @@
                 match event.token() {
                     LISTENER => accept = true,
                     SIGNALS => self.signalled(),
+                    HANG_UPS => self.reread(),
                     // In the order in which it came: webhooks with one order key go in that order.
                     Token(link) => self.ready(link),
                 }
@@ -400,6 +422,31 @@
         self.again.extend(clients);
     }
 
+    /// The configuration's file is read again. A faulty one changes nothing.
+    fn reread(&mut self) {
+        while matches!(self.hang_ups.read(&mut [0; 64]), Ok(count) if count > 0) {}
+        let config = match self.bridge.config().reread(&self.path) {
+            Ok(config) => config,
+            Err(why) => return warn!(code = "config-kept", why, "the configuration stays as it was"),
+        };
+        (self.most_clients, self.most_lines) = most_links(&config.limits);
+        let moved = std::mem::replace(&mut self.discovery, config.discovery) != config.discovery;
+        info!(code = "config-read", discovery = %config.discovery, moved, "the configuration was read again");
+        self.bridge.reread(config);
+        if moved {
+            // Both are taken up again at the new address when the turn ends.
+            self.list.moved();
+            if let Some(link) = self.list_link {
+                self.close(link, Reason::Moved);
+            }
+            self.bridge.notices.broken();
+            self.notice_at = self.now;
+            if let Some(link) = self.notice_link {
+                self.close(link, Reason::Moved);
+            }
+        }
+    }
+
     /// What was to happen on a connection by now has not.
     fn overdue(&mut self, link: usize) {
         let Some(l) = self.links.get_mut(&link) else { return };
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -142,6 +142,11 @@
         Ok((journal, bytes.len() - whole))
     }
 
+    /// Changes the limit in bytes.
+    pub fn set_most(&mut self, most: usize) {
+        self.most = most.saturating_sub(BLOCKS);
+    }
+
     fn weight(entry: &Entry) -> usize {
         match entry {
             Entry::Open { size, .. } => size + UPKEEP,
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -77,6 +77,11 @@
         Ok(Some((news, answer.keep && self.decoder.is_clear())))
     }
 
+    /// The platform is reached at another address: the whole list is asked for there.
+    pub fn moved(&mut self) {
+        *self = List::new();
+    }
+
     /// The connection is gone. True where the watch goes on over a new one at once.
     pub fn broken(&mut self) -> bool {
         self.decoder = Decoder::answers(MOST_LIST);
--- a/crates/sender/src/main.rs
+++ b/crates/sender/src/main.rs
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
 enum Command {
-    /// Take webhooks and deliver them, until SIGTERM
+    /// Take webhooks and deliver them, until SIGTERM; SIGHUP reads the configuration again
     #[bpaf(command)]
     Serve {
         /// The configuration
@@ -59,8 +59,8 @@
         Command::Check { config } => {
             config::Config::read(&config).map(|c| println!("{}: can be served", c.name))
         }
-        Command::Serve { config, state } => match config::Config::read(&config) {
-            Ok(config) => match driver::serve(config, &state) {
+        Command::Serve { config: path, state } => match config::Config::read(&path) {
+            Ok(config) => match driver::serve(config, &path, &state) {
                 Ok(()) => Ok(()),
                 Err(e) => {
                     eprintln!("scalebarrow: {e}");
--- a/crates/sender/tests/helpers/mod.rs
+++ b/crates/sender/tests/helpers/mod.rs
@@ -272,6 +272,24 @@
         assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
     }
 
+    /// Replaces text in its configuration and has it read again.
+    pub fn reconfigure(&self, from: &str, to: &str) {
+        let path = self.folder.join("config.json");
+        let old = std::fs::read_to_string(&path).unwrap();
+        assert!(old.contains(from), "{from} is not in the configuration");
+        std::fs::write(path, old.replace(from, to)).unwrap();
+        self.signal("HUP");
+    }
+
+    /// Waits until a line of its log holds that text.
+    pub fn logged(&self, text: &str) {
+        let since = Instant::now();
+        while !std::fs::read_to_string(self.folder.join("log")).unwrap().contains(text) {
+            assert!(since.elapsed() < LONG, "{text} is not logged");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Kills it outright and starts it again on the same folder.
     pub fn restart(&mut self) {
         self.child.kill().unwrap();
--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -445,6 +445,42 @@
     }
 }
 
+#[test]
+fn a_hang_up_moves_list_and_notices_and_carries_on_what_is_held() {
+    let endpoint = Endpoint::start(|_, heard| {
+        Deed::Say(if heard.id() == "bad" { "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n" } else { OK })
+    });
+    let known = list(1, true, &[host("a", endpoint.at, "plain", "DRAINING")]);
+    let old = Platform::start(known.clone(), usize::MAX);
+    let new = Platform::start(list(1, true, &[host("a", endpoint.at, "plain", "SERVING")]), 1);
+    let program = Program::start(&old, &known, &[]);
+    assert_eq!(program.hand_in("once", "late", 200, b""), 202);
+    assert_eq!(program.hand_in("once", "held", 8000, b"body"), 202);
+    // A faulty file: one line names the field, and all stays as it was.
+    program.reconfigure("\"slots\":40", "\"slots\":0");
+    program.logged("settings.family-info.slots");
+    assert_eq!(old.notice(), "{\"id\":\"late\",\"state\":\"returned\"}\n");
+    program.reconfigure("\"slots\":0", "\"slots\":40");
+    program.reconfigure(&old.at.to_string(), &new.at.to_string());
+    // The new platform's list lets go what was held, and what was owed goes there until it is acknowledged.
+    assert_eq!(endpoint.call().id(), "held");
+    for _ in 0..2 {
+        assert_eq!(new.notice(), "{\"id\":\"late\",\"state\":\"returned\"}\n");
+    }
+    assert_eq!(program.hand_in("once", "bad", 8000, b""), 202);
+    assert_eq!(endpoint.call().id(), "bad");
+    assert_eq!(new.notice(), "{\"id\":\"bad\",\"state\":\"failed\"}\n");
+    // Its watch is followed too.
+    let other = Endpoint::start(|_, _| Deed::Say(OK));
+    let change = |at, health| host(if at == endpoint.at { "a" } else { "b" }, at, "plain", health);
+    new.tell(list(2, false, &[change(endpoint.at, "DRAINING"), change(other.at, "SERVING")]));
+    let since = Instant::now();
+    while other.calls.try_recv().is_err() {
+        assert!(since.elapsed() < LONG, "the change is not followed");
+        program.hand_in("idem", &format!("s{}", since.elapsed().as_nanos()), 8000, b"");
+    }
+}
+
 #[test]
 fn a_silent_platform_is_asked_again_and_what_is_known_serves() {
     let (endpoint, silent) = (Endpoint::start(|_, _| Deed::Say(OK)), Endpoint::start(|_, _| Deed::Silence));
