A webhook for a destination that was never listed is rejected at once

Ruled out: event types that do not exist (404), missing ids and times without number (400), which the statuses of the tests show. What was taken on were destinations no endpoint is listed for: they were held to their TTL and then owed a notice. At fault: logic.rs `webhook` held whatever came; `spent` knew unknown event types only.

Now such a webhook has no attempt left, so `spent` rejects it in the turn it came.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -270,14 +270,15 @@
         let ttl_at = now + left;
         let t = self.types.get(evt);
         let target_at = t.map_or(now, |t| ttl_at - t.ttl + t.target);
-        let line = key.filter(|_| t.is_some_and(|t| t.ordered)).map(Name::from);
-        if let Some(k) = &line {
+        let key = key.filter(|_| t.is_some_and(|t| t.ordered)).map(Name::from);
+        if let Some(k) = &key {
             self.key_lines.entry(k.clone()).or_default().push_back(id);
         }
-        let over = customer.is_some_and(|c| self.over_share(c));
-        let webhook =
-            Webhook { evt: evt.into(), dest, key: line, over, target_at, ttl_at, ..Webhook::default() };
-        self.webhooks.insert(id, webhook);
+        let (evt, over) = (evt.into(), customer.is_some_and(|c| self.over_share(c)));
+        // No attempt is left for a destination that was never listed.
+        let tries = if self.dests.contains_key(&dest) { 0 } else { u32::MAX };
+        let w = Webhook { evt, dest, key, over, target_at, ttl_at, tries, ..Webhook::default() };
+        self.webhooks.insert(id, w);
         self.held.entry(dest).or_default().push(id);
     }
 
