Spoilt answers count as calls that may have run; one that began is soon whole

A spoilt 429 or 503 (its body missing, its head unreadable) was believed from its first line and counted as never run, so an at-most-once webhook would have gone out twice. An answer that began and stopped held its slot until the attempt's end, up to TTL. Up to 256 KB of an answer without end were read before it was looked at. Ruled out: 1xx in front, a second copy and noise behind a good answer, unreadable reports: handled, now rows in tests. At fault: endpoints.rs `cut_short` (any status decided), driver.rs `endpoint_ready` (fed four reads before one look) and `overdue`.

Now only a first line with 200 of a call of one is believed; an answer that began has 0.4 s; each read is looked at; unfinished answers together have a bound. The rows "a refusal that is not whole" and "how a call that is cut short ended" fail without the change.

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -5,7 +5,7 @@
 use crate::clients::{self, Client, Reply, Stage};
 use crate::config::{Config, Limits};
 use crate::endpoints::{self, Answer, Call, Ending, Line, Pool};
-use crate::http::Decoder;
+use crate::http::{Decoder, Fault};
 use crate::journal::Journal;
 use crate::list::List;
 use crate::notices;
@@ -48,6 +48,8 @@
 /// After the last answer, what still comes is passed over for so long, or so many reads, so that no reset overtakes it.
 const LINGER: f64 = 0.5;
 const LINGER_READS: usize = 16;
+/// An answer that has begun is written at once: what is not whole after so long is spoilt, and its connection too.
+const ANSWER_SPAN: f64 = 0.4;
 /// An endpoint's idle connection is given up so long before the endpoint closes it.
 const IDLE_MARGIN: f64 = 0.25;
 /// Before another try where no connection can be accepted, as when the system is short of descriptors.
@@ -473,10 +475,11 @@
                 Stage::Idle => self.close(link, Reason::Idle),
                 Stage::Writing | Stage::Lingering => self.close(link, Reason::Silent),
             },
-            Peer::Endpoint(line) if line.call.is_some() => {
-                let reason = if l.up { Reason::Silent } else { Reason::NotUp };
-                self.cut(link, Outcome::TimedOut, reason);
-            }
+            Peer::Endpoint(line) if line.call.is_some() => match (l.up, line.decoder.is_clear()) {
+                (true, true) => self.cut(link, Outcome::TimedOut, Reason::Silent),
+                (true, false) => self.cut(link, Outcome::Reset, Reason::BadMessage),
+                _ => self.cut(link, Outcome::TimedOut, Reason::NotUp),
+            },
             Peer::Endpoint(_) => self.close(link, Reason::Idle),
             Peer::List => self.list_broke(Reason::Silent),
             Peer::Notices => self.notices_broke(Reason::Silent),
@@ -814,6 +817,7 @@
 
     fn endpoint_ready(&mut self, link: usize) {
         let mut end = if self.flush(link) { None } else { Some(Reason::PeerReset) };
+        let mut found = None;
         for step in 0.. {
             if step == STEPS {
                 self.again.insert(link);
@@ -825,6 +829,15 @@
                         return;
                     };
                     line.decoder.feed(&self.scratch[..count]);
+                    // Looked at piece by piece: of an answer without end no more is kept than of a good one.
+                    found = found.or_else(|| line.decoder.message().transpose());
+                    let (big, clear) = (line.decoder.held() > SMALL, line.decoder.is_clear());
+                    if found.is_none() && big && self.buffers_full(false) {
+                        found = Some(Err(Fault::BodyTooBig));
+                    }
+                    if found.is_some() && !clear {
+                        break;
+                    }
                 }
                 Got::Nothing => break,
                 Got::End(reason) => {
@@ -835,8 +848,8 @@
         }
         let Some(l) = self.links.get_mut(&link) else { return };
         let Peer::Endpoint(line) = &mut l.peer else { return };
-        match line.decoder.message() {
-            Ok(Some(answer)) => {
+        match found {
+            Some(Ok(answer)) => {
                 let Some(call) = line.call.take() else { return self.close(link, Reason::Unasked) };
                 let stays = end.is_none() && answer.keep && call.written && line.decoder.is_clear();
                 let ids: Vec<&str> = call.webhooks.iter().map(|w| w.1.as_str()).collect();
@@ -852,14 +865,17 @@
                 let (idle, _) = self.bridge.config().connection_times();
                 self.set_due(link, self.now + (idle - IDLE_MARGIN).max(idle / 2.0));
             }
-            Ok(None) => {
+            Some(Err(_)) => self.cut(link, Outcome::Reset, Reason::BadMessage),
+            None => {
+                let by = l.due.min(self.now + ANSWER_SPAN);
                 if let Some(reason) = end {
                     self.cut(link, Outcome::Reset, reason);
                 } else if line.call.is_none() && !line.decoder.is_clear() {
                     self.close(link, Reason::Unasked);
+                } else if !line.decoder.is_clear() {
+                    self.set_due(link, by);
                 }
             }
-            Err(_) => self.cut(link, Outcome::Reset, Reason::BadMessage),
         }
     }
 
--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -151,15 +151,15 @@
             let garbage = || vec![Outcome::Reset.into(); count];
             return (endings(&answer, &ids).unwrap_or_else(garbage), answer.head);
         }
-        // The first line decides where one webhook went alone, even if the rest of the answer is missing.
-        let head = self.decoder.head().cloned();
-        let status = self.decoder.first_line().filter(|s| !(100..200).contains(s));
-        let head = head.or(status.map(|status| Answer { status, ..Answer::default() }));
-        let plain = if call.written { else_as } else { Outcome::ConnectFailed };
-        match head {
-            Some(head) if count == 1 => (vec![head.ending(true)], head),
-            _ => (vec![plain.into(); count], Answer::default()),
-        }
+        // Of a spoilt answer only a first line with 200 is true, where one webhook went alone. Any other, also one that
+        // seems to say that nothing has run, stands for a call that may have run once it was written.
+        let status = self.decoder.head().map(|h| h.status).or_else(|| self.decoder.first_line());
+        let outcome = match status {
+            Some(200) if count == 1 => Outcome::Delivered,
+            _ if call.written => else_as,
+            _ => Outcome::ConnectFailed,
+        };
+        (vec![outcome.into(); count], Answer::default())
     }
 }
 
@@ -252,6 +252,9 @@
             ("Srv-Load: TEXT x0=0.4\r\n", None),
             ("Srv-Load: TEXT x0=nan, x1=2\r\n", None),
             ("Srv-Load: x0=0.4, x1=25\r\n", None),
+            ("Srv-Load: TEXT x0=0.4, x1=-25\r\n", None),
+            ("Srv-Load: {\"x0\":0.4\r\n", None),
+            ("Srv-Load: \u{e9}\u{fffd},=,x0=,x1\r\n", None),
             ("", None),
         ] {
             let text = format!("HTTP/1.1 200 OK\r\n{field}Content-Length: 0\r\n\r\n");
@@ -271,8 +274,17 @@
             ("HTTP/1.1 200 OK\r\n\r\nuntil the end", true, 1, Outcome::Delivered),
             ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na ok", true, 2, Outcome::Reset),
             ("HTTP/1.1 200 OK\r\n\r\na ok\r\nb ok\r\n", true, 2, Outcome::Delivered),
-            // An early answer counts, though the call was not written to its end.
-            ("HTTP/1.1 503 No\r\n", false, 1, Outcome::Full(0.0)),
+            ("HTTP/1.1 503 No\r\n", false, 1, failed),
+            // The first line is true only where it says 200.
+            ("HTTP/1.1 503 No\r\n", true, 1, Outcome::Reset),
+            ("HTTP/1.1 429 No\r\nRetry-After: 1\r\nContent-Length: 9\r\n\r\nhal", true, 1, Outcome::Reset),
+            ("HTTP/1.1 410 No\r\n\u{1}: 2\r\n\r\n", true, 1, Outcome::Reset),
+            ("HTTP/1.1 200 OK\r\n\u{1}: 2\r\n\r\n", true, 1, Outcome::Delivered),
+            ("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n", true, 1, Outcome::Delivered),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", true, 1, Outcome::Delivered),
+            ("HTTP/1.1 500 No\r\nContent-Length: 3000000000\r\n\r\n", true, 1, Outcome::Reset),
+            ("HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nX: ", true, 1, Outcome::Delivered),
+            ("HTTP/1.1 100 Go\r\n\r\n\u{7f}\u{3}", true, 1, Outcome::Reset),
         ] {
             let webhooks: Vec<_> = ["a", "b"][..count].iter().map(|id| (1, id.to_string())).collect();
             let (ep, zone, bytes) = (String::from("e"), String::new(), Vec::new());
--- a/crates/sender/src/http.rs
+++ b/crates/sender/src/http.rs
@@ -398,7 +398,7 @@
     fn messages_come_out_the_same_however_their_bytes_come_in() {
         let get = "GET /r HTTP/1.1\r\n";
         let ok = "HTTP/1.1 200 OK\r\n";
-        let cases: [(bool, String, &[&str]); 22] = [
+        let cases: [(bool, String, &[&str]); 36] = [
             (false, format!("{get}\r\n"), &["GET /r - [] keep"]),
             (false, format!("\r\n{get}X-A: b \r\n\r\n"), &["GET /r b [] keep"]),
             (false, format!("{get}Connection: x, Close\r\n\r\n"), &["GET /r - [] close"]),
@@ -439,6 +439,28 @@
             (true, format!("{ok}Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"), &["200 - [a] keep"]),
             (true, format!("{ok}Content-Length: 5\r\n\r\nhi"), &[]),
             (true, "SSH-2.0-x\r\n\r\n".into(), &["Malformed"]),
+            // Spoilt: noise, heads that cannot be read or never end, lengths that do not fit, a body without end.
+            (true, "\u{7f}\u{3}x".into(), &["Malformed"]),
+            (true, format!("{ok}\u{1}: 2\r\n\r\n"), &["Malformed"]),
+            (true, format!("{ok}X-A\r\n\r\n"), &["Malformed"]),
+            (true, format!("{ok}{}", "X-A: b\r\n".repeat(MOST_HEAD / 8 + 1)), &["HeadTooBig"]),
+            (true, format!("{ok}X-A: {}", "b".repeat(MOST_HEAD)), &["HeadTooBig"]),
+            (true, format!("{ok}Content-Length: 1\r\n\r\nhi"), &["200 - [h] keep", "Malformed"]),
+            (true, format!("{ok}Content-Length: -2\r\n\r\nhi"), &["Malformed"]),
+            (true, format!("{ok}Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi"), &["Malformed"]),
+            (true, format!("{ok}Content-Length: 3221225472\r\n\r\nhi"), &["BodyTooBig"]),
+            (true, format!("{ok}\r\n{}", "x".repeat(MOST_BODY + 1)), &["BodyTooBig"]),
+            (true, format!("{ok}Transfer-Encoding: chunked\r\n\r\nC0000000\r\nhi"), &["BodyTooBig"]),
+            // Good, with more than belongs to them.
+            (true, format!("{ok}Content-Length: 0\r\n\r\n").repeat(2), &["200 - [] keep", "200 - [] keep"]),
+            (true, format!("{ok}Content-Length: 0\r\n\r\n\u{7f}"), &["200 - [] keep", "Malformed"]),
+            (
+                true,
+                format!(
+                    "HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 102 On\r\nX-A: 1\r\n\r\n{ok}Content-Length: 1\r\n\r\na"
+                ),
+                &["200 - [a] keep"],
+            ),
         ];
         for (answers, bytes, wanted) in cases {
             for step in [1, 2, 7, usize::MAX] {
--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -52,7 +52,9 @@
     let gone = "HTTP/1.1 410 no\r\nContent-Length: 0\r\n\r\n";
     // Without a length the body ends with the connection; the first line decides.
     let short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal";
-    let cases: [(&str, &str, Option<&'static str>, usize, bool); 8] = [
+    let shut_short = "HTTP/1.1 503 no\r\nContent-Length: 9\r\n\r\nhal";
+    let noise = "\u{7f}\u{3}HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n";
+    let cases: [(&str, &str, Option<&'static str>, usize, bool); 11] = [
         ("refused, with a wait", "once", Some(later), 2, false),
         ("shut", "once", Some(SHUT), 2, false),
         ("an error may have run: sent again where it may", "idem", Some(error), 2, false),
@@ -61,6 +63,9 @@
         ("a reset, where it may be sent again", "token", None, 2, false),
         ("garbage is a reset", "once", Some("HTP/9 what\r\n\r\n"), 1, true),
         ("over", "idem", Some(gone), 1, false),
+        ("a refusal that is not whole may have run", "once", Some(shut_short), 1, true),
+        ("noise before it too", "once", Some(noise), 1, true),
+        ("a 200 is true though its body is not whole", "once", Some(short), 1, false),
     ];
     for (name, event_type, first, calls, notice) in cases {
         let (endpoint, platform, program) =
