Module: what was a forgotten route's own of a limit goes with it

All else by id was looked through: webhooks, key lines and rests, routes, active, linked are dropped; dests, current and held are by destination, thrift by kind. At fault: logic.rs `forget` removed the route only.

Now the meter goes too, unless a told wait is not over. The list stays by destination, so a shared limit outlives its routes. The new case fails without it (its fifth refusal in a row waits 1.2 s instead of 0.25 s).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -469,10 +469,9 @@
         if let Some(r) = self.routes.get_mut(&ep).filter(|r| r.ready) {
             r.samples.clear();
             (r.bad_row, r.open, r.window) = (0, false, first);
-        } else if let Some(r) = self.routes.remove(&ep)
-            && let Some(eps) = self.dests.get_mut(&r.dest)
-        {
-            eps.retain(|x| *x != ep);
+        } else if let Some(r) = self.routes.remove(&ep) {
+            self.dests.entry(r.dest).or_default().retain(|x| *x != ep);
+            self.meters.retain(|s, m| s.1.as_ref() != Some(&ep) || m.wait_until > self.now);
         }
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -215,6 +215,13 @@
             "0 list a:z:plain:50\n0.1 list b:z:plain:50\n0.2 hand 1 idem",
             &[Acts(&["0.2 send 1 b"])],
         ),
+        (
+            // Else all that was known of routes that are long gone would pile up.
+            "a route that comes back after it was forgotten starts anew, also with what was its own of a limit",
+            ONE,
+            "0 list a:z:bulk:50\n0 hand 1 idem\n0.1 end 1 a full\n1 end 1 a full\n3 end 1 a full\n5 end 1 a full\n7 end 1 a full\n7.5 list\n70 changes\n75 list a:z:bulk:50\n75 hand 2 idem\n75.1 end 2 a full\n75.9 pass",
+            &[Sends(3.0, 7.0, 2..=2), Sends(75.15, 75.9, 1..=1)],
+        ),
         (
             "the list is watched where it must be asked for, and not again while the watch stands",
             (64, 50, 1, true),
