Module: endpoints that left have no part in what a returning destination takes

At fault: logic.rs `endpoints` counted all that `dests` holds.

Now only those that are ready count. The new case fails without the change (the second call of a returning endpoint 0.7 s late).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -525,9 +525,11 @@
         (part, part / self.cold_rate(r, m) / eps)
     }
 
-    /// Endpoints of one destination share its rate and capacity.
+    /// Endpoints of one destination share its rate and capacity. Those that left have no part in it.
     fn endpoints(&self, r: &Route) -> f64 {
-        if r.apart { 1.0 } else { self.dests.get(&r.dest).map_or(1, |d| d.len().max(1)) as f64 }
+        let ready = |ep: &&Name| self.routes.get(*ep).is_some_and(|r| r.ready);
+        let count = self.dests.get(&r.dest).map_or(1, |d| d.iter().filter(ready).count().max(1));
+        if r.apart { 1.0 } else { count as f64 }
     }
 
     fn cooling_off(&mut self, ep: &Name, scope: &Scope, wait: f64) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -261,6 +261,15 @@
             "0 list a:z:plain:6\n0 hand 1 idem\n0.1 end 1 a ok\n1 hand 2 idem\n1.1 end 2 a reset\n2 end 2 a reset\n3 end 2 a reset\n4.5 end 2 a ok\n5 hand 3 idem\n5.1 end 3 a ok\n6 hand 4 idem\n6.1 pass",
             &[Sends(1.0, 4.5, 4..=4), Sends(5.0, 5.1, 1..=1), Sends(6.0, 6.1, 1..=1)],
         ),
+        (
+            // Endpoints are replaced all day: those that left once counted for a minute and throttled the others.
+            "endpoints that left have no part in what a returning destination takes",
+            ONE,
+            &format!(
+                "0 list a:z:plain:6 b:z:plain:6 c:z:plain:6 d:z:plain:6\n{lost}\n8 end 2 a ok\n8 end 1 a ok\n9 hand 5 idem\n9 hand 6 idem\n9 hand 7 idem\n10.2 pass"
+            ),
+            &[Sends(9.0, 9.5, 2..=2)],
+        ),
         (
             // Two failed connects once throttled a destination that answered others for the rest of the day.
             "a lack of connections is no outage",
