--- a/src/logic.rs
+++ b/src/logic.rs
@@ -757,15 +757,14 @@
         {
             r.cooling = if std::mem::replace(&mut r.open, true) { (r.cooling * 1.5).min(2.0) } else { 0.5 };
             let (cooling, bad_row, since) = (r.cooling, r.bad_row, r.bad_since);
-            let row = r.samples.iter().rev().take_while(|s| !s.good).last();
-            let row_at = row.map_or(now, |s| s.at - s.took);
+            let row_at = r.samples.iter().rev().take_while(|s| !s.good).last().map_or(now, |s| s.at);
             let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0, 1.0).1;
             if let Some(r) = self.routes.get_mut(&ep) {
                 r.trial_at = now + (cooling * (0.75 + 0.5 * jitter)).max(turn * (0.2 + 1.6 * jitter));
             }
             // One lost call more, or a failed trial, and it is an outage; fewer can be chance.
             if (trial && outcome != Outcome::Reset) || bad_row >= 3 {
-                // What went well since the row's first call went out (two seconds at most) is up.
+                // What went well since the row began (two seconds at most) is up, however fast this failed.
                 self.mark_outage(&scope, row_at.max(now - 2.0));
             }
         }
