Module: an endpoint that refuses is left aside while others can be asked

Refusals are not in a route's samples, so the same endpoint was asked again. At fault: logic.rs `cooling_off` took every refusal for the shared limit.

Now one without a wait closes that endpoint's gate for a second while another one can be asked, and only when all refuse is the destination paced. The new case fails without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -111,6 +111,8 @@
     open: bool,
     trial_at: f64,
     cooling: f64,
+    /// Refused, while others of its destination could be asked: left to them until then.
+    aside: f64,
     answered: f64,
     used: f64,
     /// When the last call went out, and how long after the one before.
@@ -199,14 +201,13 @@
     }
 
     pub fn set_event_type(&mut self, name: &str, target: f64, ttl: f64, value: f64, late: f64, halves: bool) {
-        let evt = EventType { target, ttl, value, late, halves, ..EventType::default() };
-        self.types.insert(name.into(), evt);
+        self.types
+            .insert(name.into(), EventType { target, ttl, value, late, halves, ..EventType::default() });
     }
 
     pub fn set_effect(&mut self, name: &str, effect: Effect, known_for: f64, by_all: bool, ordered: bool) {
-        if let Some(evt) = self.types.get_mut(name) {
-            (evt.effect, evt.known_for, evt.by_all, evt.ordered) = (effect, known_for, by_all, ordered);
-        }
+        let Some(evt) = self.types.get_mut(name) else { return };
+        (evt.effect, evt.known_for, evt.by_all, evt.ordered) = (effect, known_for, by_all, ordered);
     }
 
     /// Marsaglia's multiply-with-carry, 32 bits; the multiplier is one that he lists.
@@ -261,7 +262,6 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub fn webhook(
         &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
         left: f64,
@@ -282,7 +282,6 @@
         self.held.entry(dest).or_default().push(id);
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub fn outcome(
         &mut self, now: f64, id: u64, ep: &str, outcome: Outcome, took: f64, ended: bool,
         report: Option<(f64, f64)>,
@@ -346,14 +345,10 @@
     fn close(&mut self, id: u64) {
         let Some(w) = self.webhooks.remove(&id) else { return };
         self.unhold(w.dest, id);
-        if let Some(k) = &w.key
-            && let Some(line) = self.key_lines.get_mut(k)
-        {
-            line.retain(|x| *x != id);
-            if line.is_empty() {
-                self.key_lines.remove(k);
-            }
-        }
+        self.key_lines.retain(|k, line| {
+            line.retain(|x| *x != id || w.key.as_ref() != Some(k));
+            !line.is_empty()
+        });
     }
 
     /// Destinations with nothing held have no entry: rules look through all entries after every input.
@@ -527,14 +522,21 @@
 
     /// Endpoints of one destination share its rate and capacity. Those that left have no part in it.
     fn endpoints(&self, r: &Route) -> f64 {
-        let ready = |ep: &&Name| self.routes.get(*ep).is_some_and(|r| r.ready);
-        let count = self.dests.get(&r.dest).map_or(1, |d| d.iter().filter(ready).count().max(1));
-        if r.apart { 1.0 } else { count as f64 }
+        let shares = |x: &&Route| x.ready && x.dest == r.dest;
+        if r.apart { 1.0 } else { self.routes.values().filter(shares).count().max(1) as f64 }
     }
 
     fn cooling_off(&mut self, ep: &Name, scope: &Scope, wait: f64) {
         let jitter = self.chance();
         let (now, senders) = (self.now, self.senders);
+        // It may drain or be new and cold. A limit makes all refuse; below 4 calls/s each, one tells of it.
+        let here = |r: &Route| r.dest == scope.0 && r.rate >= 4.0 * senders;
+        let free = |r: &Route| here(r) && r.ready && !r.open && r.aside <= now;
+        if wait <= 0.0 && scope.1.is_none() && self.routes.iter().any(|(x, r)| x != ep && free(r)) {
+            self.routes.entry(ep.clone()).and_modify(|r| r.aside = now + 1.0);
+            return;
+        }
+        self.routes.values_mut().filter(|r| r.dest == scope.0).for_each(|r| r.aside = 0.0);
         let m = self.meters.entry(scope.clone()).or_default();
         m.full_since = if m.full_row == 0 { now } else { m.full_since };
         m.full_row += 1;
@@ -923,8 +925,7 @@
             // A further webhook in a call is some more work for the destination, about a quarter of a call.
             r.cold_due += if r.outage { 0.25 * turn } else { 0.0 };
         } else {
-            let webhooks = BTreeSet::from([id]);
-            r.calls.push(Call { at: now, trial, idle, webhooks, ..Call::default() });
+            r.calls.push(Call { at: now, trial, idle, webhooks: BTreeSet::from([id]), ..Call::default() });
             r.links = r.links.max(r.calls.len());
             (r.call_gap, r.call_at) = (now - r.call_at, now);
             self.busy += 1;
@@ -1005,7 +1006,7 @@
         if !r.ready || full || closes || self.busy >= self.slots || (!r.open && self.silent(r)) {
             return f64::INFINITY;
         }
-        self.pace_end(ep, r, false).max(if r.open { r.trial_at } else { 0.0 })
+        self.pace_end(ep, r, false).max(if r.open { r.trial_at } else { r.aside })
     }
 
     fn set_wake(&mut self, pick: Pick, out: &mut dyn Outbox) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -270,6 +270,17 @@
             ),
             &[Sends(9.0, 9.5, 2..=2)],
         ),
+        (
+            // One that drains or is new and cold once slowed down all endpoints of its destination.
+            "one endpoint that refuses is left aside for a second, and the one beside it goes on at full pace",
+            (24, 50, 1, false),
+            "0 list a:z:plain:50 b:z:plain:50\n0 hand 1 idem\n0 hand 2 idem\n0.1 end 1 a full\n0.11 hand 3 idem\n0.12 end 2 a full\n0.13 hand 4 idem\n0.9 pass",
+            &[
+                Has(&["0.0 send 2 a", "0.1 send 3 b", "0.1 send 4 b"]),
+                Sends(0.0, 0.05, 2..=2),
+                Sends(0.2, 0.9, 1..=2),
+            ],
+        ),
         (
             // Two failed connects once throttled a destination that answered others for the rest of the day.
             "a lack of connections is no outage",
