What is kept by id is dropped or bounded; an id that comes again changes nothing

The id of a webhook just delivered, handed in again by another client, was taken on as new and delivered once more, which breaks the rule where it must not run twice. At fault: bridge.rs `list` (inserted on DELETED) and `hand_in` (`numbers` only).

Now a removal drops the place and closes idle connections; the last 1,024 ids that ended are known, withdrawn ones excepted.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -8,10 +8,13 @@
 use crate::list::{Health, News};
 use crate::notices::Notices;
 use scalebarrow::{Entry, ListMode, Outbox, Outcome, Sender};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use tracing::{error, info, warn};
 
+/// Ids of webhooks that ended: those of some seconds at hundreds in a second.
+const MOST_RECENT: usize = 1024;
+
 /// What the driver is to do.
 #[derive(Debug, PartialEq)]
 pub enum Action {
@@ -71,6 +74,9 @@
     pub notices: Notices,
     places: BTreeMap<String, Place>,
     numbers: BTreeMap<String, u64>,
+    /// The ids of those that ended last.
+    recent: BTreeSet<String>,
+    recent_order: VecDeque<String>,
     next: u64,
     event_types: BTreeSet<String>,
     reports: bool,
@@ -82,9 +88,22 @@
     pub fn open(config: Config, journal: Journal, now: f64) -> Self {
         let (asked, notices) = (Asked::default(), Notices::new());
         let (places, numbers, next) = (BTreeMap::new(), BTreeMap::new(), journal.next_number());
+        let (recent, recent_order) = (BTreeSet::new(), VecDeque::new());
         let (sender, reports, event_types) = (config.open(now), config.reports(), config.event_types());
-        let mut bridge =
-            Bridge { sender, asked, journal, notices, places, numbers, next, event_types, reports, config };
+        let mut bridge = Bridge {
+            sender,
+            asked,
+            journal,
+            notices,
+            places,
+            numbers,
+            recent,
+            recent_order,
+            next,
+            event_types,
+            reports,
+            config,
+        };
         bridge.journal.all_owed().into_iter().for_each(|number| bridge.notices.push(number));
         let known = std::mem::take(&mut bridge.config.known.hosts);
         bridge.list(now, &News { seq: 0, whole: true, hosts: known }, true);
@@ -141,6 +160,12 @@
     fn close(&mut self, number: u64, end: End) {
         let Some(webhook) = self.journal.open_webhook(number) else { return };
         self.numbers.remove(&webhook.id);
+        if self.recent.insert(webhook.id.clone()) {
+            self.recent_order.push_back(webhook.id.clone());
+        }
+        for id in self.recent_order.drain(..self.recent_order.len().saturating_sub(MOST_RECENT)) {
+            self.recent.remove(&id);
+        }
         if let Err(e) = self.journal.end(number, end) {
             error!(code = "journal-write", %e, "a final answer could not be written; it may come again after a restart");
         }
@@ -151,8 +176,9 @@
 
     /// A webhook is handed in. The number is there where it was taken on just now.
     pub fn hand_in(&mut self, now: f64, from: HandIn, body: Vec<u8>) -> (Reply, Option<u64>) {
-        // Handed in once more because its connection closed under it: it is taken on already.
-        if self.numbers.contains_key(&from.id) {
+        // Handed in once more because its connection closed under it, or by somebody else: it is taken on already, and
+        // what was taken on stays as it is, whether it is open or just over.
+        if self.numbers.contains_key(&from.id) || self.recent.contains(&from.id) {
             return (Reply::Taken, None);
         }
         let (ends_at, left) = (now + from.left, from.left);
@@ -187,7 +213,13 @@
 
     /// The client went away before it heard that its webhook is taken on.
     pub fn withdrawn(&mut self, now: f64, number: u64) {
+        let id = self.journal.open_webhook(number).map(|w| w.id.clone());
         self.close(number, End::Over);
+        // Its client may hand it in again.
+        if let Some(id) = id {
+            self.recent.remove(&id);
+            self.recent_order.retain(|x| *x != id);
+        }
         self.sender.withdrawn(now, number, &mut self.asked);
         self.settle();
     }
@@ -197,18 +229,24 @@
         if news.whole {
             // Those that left are not called any more; what is on its way has its address already.
             let listed: BTreeSet<&str> = news.hosts.iter().map(|h| h.host.as_str()).collect();
-            self.places.retain(|host, _| listed.contains(host.as_str()));
+            let left = self.places.extract_if(.., |host, _| !listed.contains(host.as_str()));
+            self.asked.actions.extend(left.map(|(host, _)| Action::CloseIdle(host)));
         }
         for h in &news.hosts {
             let Some(dest) = h.dest else { continue };
+            let ready = h.health == Health::Serving;
+            let (ep, zone, kind) = (h.host.as_str(), h.site.as_str(), h.kind.as_str());
+            entries.push(Entry { ep, zone, kind, dest, ready, rate: h.rate.unwrap_or(0.0) });
+            if h.health == Health::Deleted {
+                self.places.remove(&h.host);
+                self.asked.actions.push(Action::CloseIdle(h.host.clone()));
+                continue;
+            }
             let (dial, zone, batch) = (h.dial, h.site.clone(), self.config.batch(&h.kind));
             let old = self.places.insert(h.host.clone(), Place { dial, zone, batch });
             if old.is_some_and(|p| p.dial != dial) {
                 self.asked.actions.push(Action::CloseIdle(h.host.clone()));
             }
-            let ready = h.health == Health::Serving;
-            let (ep, zone, kind) = (h.host.as_str(), h.site.as_str(), h.kind.as_str());
-            entries.push(Entry { ep, zone, kind, dest, ready, rate: h.rate.unwrap_or(0.0) });
         }
         let mode = match (remembered, news.whole) {
             (true, _) => ListMode::Remembered,
--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -491,6 +491,38 @@
     assert_eq!(endpoint.call().id(), "next");
 }
 
+#[test]
+fn an_id_that_comes_again_leaves_its_webhook_as_it_is() {
+    let (endpoint, _platform, program) = with_endpoint("plain", &[], |count, _| match count {
+        0 => Deed::Silence,
+        _ => Deed::Say(OK),
+    });
+    // Once while its call is out, once when it is over, each from somebody else and with another body.
+    for id in ["open", "over"] {
+        assert_eq!(program.hand_in("once", id, 8000, b"first"), 202);
+        assert_eq!(endpoint.call().body, b"first");
+        assert_eq!(program.hand_in("idem", &format!("then-{id}"), 8000, b""), 202);
+        assert_eq!(endpoint.call().id(), format!("then-{id}"));
+        assert_eq!(program.hand_in("idem", id, 8000, b"second"), 202);
+    }
+    assert_eq!(program.hand_in("idem", "last", 8000, b""), 202);
+    assert_eq!(endpoint.call().id(), "last", "an id went out again");
+}
+
+#[test]
+fn a_new_endpoint_at_an_old_address_inherits_nothing() {
+    let (endpoint, platform, program) = with_endpoint("plain", &[], |_, _| Deed::Say(OK));
+    assert_eq!(program.hand_in("idem", "x", 8000, b""), 202);
+    let first = endpoint.call();
+    let gone = host("a", endpoint.at, "plain", "DELETED");
+    platform.tell(list(2, false, &[gone, host("b", endpoint.at, "plain", "SERVING")]));
+    // The old one's connection closes at once, long before it has been idle for as long as it may.
+    program.logged(&format!("peer=\"endpoint\" code=\"idle\" addr={}", endpoint.at));
+    assert!(first.at.elapsed() < Duration::from_secs(3), "{:?}", first.at.elapsed());
+    assert_eq!(program.hand_in("idem", "y", 8000, b""), 202);
+    assert_eq!(endpoint.call().id(), "y");
+}
+
 #[test]
 fn the_list_is_followed() {
     let (a, b) = (Endpoint::start(|_, _| Deed::Say(OK)), Endpoint::start(|_, _| Deed::Say(OK)));
