--- /dev/null
+++ b/crates/emulator/src/policy.rs
@@ -0,0 +1,103 @@
+//! What decides for a sender: the module through its interface, or a baseline to measure it against.
+
+use crate::spec::{Effect as E, World};
+use scalebarrow::{Effect, Entry, ListMode, Outbox, Outcome, Sender};
+
+/// The inputs of a sender's decisions, as [`scalebarrow::Sender`] has them.
+#[allow(clippy::too_many_arguments)]
+pub trait Policy {
+    fn list(&mut self, now: f64, mode: ListMode, entries: &[Entry], out: &mut dyn Outbox);
+    fn webhook(
+        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        left: f64, out: &mut dyn Outbox,
+    );
+    fn resumed(
+        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        left: f64, tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
+    );
+    fn closing(&mut self, now: f64, by: f64, out: &mut dyn Outbox);
+    fn outcome(
+        &mut self, now: f64, id: u64, ep: &str, outcome: Outcome, took: f64, ended: bool,
+        report: Option<(f64, f64)>, out: &mut dyn Outbox,
+    );
+    fn told_wait(&mut self, now: f64, ep: &str, wait: f64, out: &mut dyn Outbox);
+    fn withdrawn(&mut self, now: f64, id: u64, out: &mut dyn Outbox);
+    fn woken(&mut self, now: f64, handle: u64, out: &mut dyn Outbox);
+}
+
+impl Policy for Sender {
+    fn list(&mut self, now: f64, mode: ListMode, entries: &[Entry], out: &mut dyn Outbox) {
+        Sender::list(self, now, mode, entries, out);
+    }
+    fn webhook(
+        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        left: f64, out: &mut dyn Outbox,
+    ) {
+        Sender::webhook(self, now, id, evt, dest, key, customer, left, out);
+    }
+    fn resumed(
+        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        left: f64, tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
+    ) {
+        Sender::resumed(self, now, id, evt, dest, key, customer, left, tries, ran, out);
+    }
+    fn closing(&mut self, now: f64, by: f64, out: &mut dyn Outbox) {
+        Sender::closing(self, now, by, out);
+    }
+    fn outcome(
+        &mut self, now: f64, id: u64, ep: &str, outcome: Outcome, took: f64, ended: bool,
+        report: Option<(f64, f64)>, out: &mut dyn Outbox,
+    ) {
+        Sender::outcome(self, now, id, ep, outcome, took, ended, report, out);
+    }
+    fn told_wait(&mut self, now: f64, ep: &str, wait: f64, out: &mut dyn Outbox) {
+        Sender::told_wait(self, now, ep, wait, out);
+    }
+    fn withdrawn(&mut self, now: f64, id: u64, out: &mut dyn Outbox) {
+        Sender::withdrawn(self, now, id, out);
+    }
+    fn woken(&mut self, now: f64, handle: u64, out: &mut dyn Outbox) {
+        Sender::woken(self, now, handle, out);
+    }
+}
+
+/// What a policy is told when its sender starts.
+#[derive(Clone, Copy)]
+pub struct Start<'a> {
+    pub now: f64,
+    pub seed: u64,
+    pub number: usize,
+    pub world: &'a World,
+}
+
+/// Makes the policy of each sender, anew at every start.
+pub type Maker<'m> = dyn Fn(Start) -> Box<dyn Policy> + Sync + 'm;
+
+/// The decision module, told the world's settings.
+pub fn module(start: Start) -> Box<dyn Policy> {
+    let w = start.world;
+    let mut s = Sender::open(start.now, start.seed, start.number as u64, w.senders.count as u64);
+    for t in &w.event_types {
+        s.set_event_type(&t.name, t.target_s, t.ttl_s, t.value, t.late, t.halves);
+        let effect = match t.effect {
+            E::Idempotent => Effect::Idempotent,
+            E::Tokened => Effect::Tokened,
+            E::AtMostOnce => Effect::AtMostOnce,
+        };
+        s.set_effect(&t.name, effect, t.known_s, t.by_all, t.ordered);
+    }
+    for k in &w.kinds {
+        s.set_kind(&k.name, k.batch, k.apart);
+    }
+    for c in &w.customers {
+        s.set_customer(&c.name, c.quota, c.over);
+    }
+    s.set_limits(w.senders.slots, w.senders.holds, w.senders.attempts, w.senders.may_call_off);
+    s.set_come_back(w.senders.come_back_s);
+    s.set_list(w.list.ask, w.list.within_s);
+    s.set_rate_error(w.list.rate_error);
+    s.set_cold(w.rules.cold_from, w.rules.warm_s, w.rules.fall_multiple);
+    s.set_idle(w.senders.idle_s);
+    s.set_key_rest(w.rules.key_rest_s);
+    Box::new(s)
+}
--- /dev/null
+++ b/crates/emulator/tests/rules.rs
@@ -0,0 +1,132 @@
+//! Each rule is seen to be broken where it is, and by nothing else.
+
+mod helpers;
+use helpers::{Careful, Flaw, office, play, trouble};
+use scalebarrow_emulator::spec::{Effect, LimitBy, Struck, Trouble, What, World};
+use scalebarrow_emulator::{Rule, run};
+
+fn troubled(of: Vec<Trouble>) -> World {
+    let mut world = office(30.0);
+    world.troubles = of;
+    world
+}
+
+/// Days that bring each rule into reach.
+fn days() -> Vec<World> {
+    let mut cut = troubled(vec![trouble(What::Limit, 5.0, 15.0, 0.2, 0.0)]);
+    cut.kinds.iter_mut().for_each(|k| (k.limit, k.tells_wait) = (LimitBy::Span, 1.0));
+    vec![
+        troubled(vec![trouble(What::Down, 5.0, 6.0, 0.0, 0.5)]),
+        troubled(vec![trouble(What::Errors, 5.0, 10.0, 0.6, 0.5)]),
+        troubled(vec![trouble(What::Drain, 5.0, 12.0, 0.0, 0.5)]),
+        cut,
+    ]
+}
+
+#[test]
+fn a_flaw_breaks_its_rule_and_care_breaks_none() {
+    let cases = [
+        (Flaw::None, None),
+        (Flaw::Forgets, Some(Rule::Lost)),
+        (Flaw::AnswersTwice, Some(Rule::Lost)),
+        (Flaw::Repeats, Some(Rule::Twice)),
+        (Flaw::Drains, Some(Rule::Drains)),
+        (Flaw::Pushes, Some(Rule::Returns)),
+        (Flaw::Disorders, Some(Rule::Order)),
+        (Flaw::Hurries, Some(Rule::Waits)),
+    ];
+    for (flaw, rule) in cases {
+        let mut found = Vec::new();
+        for (i, world) in days().iter().enumerate() {
+            let day = run(world, 4 + i as u64, &Careful::maker(flaw), &mut |_| {}).unwrap();
+            found.extend(day.broken);
+        }
+        match rule {
+            None => assert!(found.is_empty(), "care was found to break {:?}", found.first()),
+            Some(rule) => {
+                assert!(found.iter().any(|b| b.rule == rule), "{flaw:?} did not break {rule:?}: {found:?}")
+            }
+        }
+    }
+}
+
+#[test]
+fn a_day_can_break_by_the_order_of_two_events_at_one_instant() {
+    // One sender, and a grid on which a wait is often told at the instant that a webhook comes.
+    let mut world = troubled(vec![trouble(What::Limit, 2.0, 25.0, 0.3, 0.0)]);
+    world.kinds.truncate(1);
+    (world.senders.count, world.destinations.count, world.kinds[0].tells_wait) = (1, 1, 1.0);
+    (world.clients.rate, world.day.tick_us) = (4.0, 50_000);
+    let breaks = |order| {
+        let mut world = world.clone();
+        world.day.order = order;
+        let day = run(&world, 11, &Careful::maker(Flaw::HurriesAtOnce), &mut |_| {}).unwrap();
+        day.broken.iter().any(|b| b.rule == Rule::Waits)
+    };
+    let orders: Vec<bool> = (1..40).map(breaks).collect();
+    assert!(orders.contains(&true) && orders.contains(&false), "{orders:?}");
+}
+
+#[test]
+fn the_module_keeps_the_rules_through_each_trouble() {
+    let all = [
+        (What::Down, 0.0),
+        (What::Silent, 0.0),
+        (What::Hang, 0.0),
+        (What::Slow, 8.0),
+        (What::Errors, 0.8),
+        (What::Shut, 0.0),
+        (What::Limit, 0.4),
+        (What::Loss, 0.1),
+        (What::Delay, 0.3),
+        (What::Resets, 0.2),
+        (What::StallOut, 0.0),
+        (What::StallBack, 0.0),
+        (What::SlowConnect, 0.4),
+        (What::Forgets, 0.5),
+        (What::ListLate, 4.0),
+        (What::ListWrong, 2.0),
+        (What::Drain, 0.0),
+        (What::Leave, 0.0),
+        (What::Kill, 0.0),
+        (What::Restart, 1.5),
+        (What::Surge, 2.0),
+        (What::Clump, 40.0),
+    ];
+    for (what, size) in all {
+        for part in [0.0, 0.4] {
+            let day = play(&troubled(vec![trouble(what, 6.0, 7.0, size, part)]), 7, "module");
+            assert!(day.broken.is_empty(), "{what:?} of {part}: {:?}", day.broken.first());
+            assert!(day.lines.is_empty(), "{what:?}: {}", day.lines[0]);
+            assert!(day.little_holds(), "{what:?}: Little's law");
+            assert!(day.value > 0.4, "{what:?} of {part}: value {}", day.value);
+        }
+    }
+}
+
+#[test]
+fn lists_that_are_asked_for_senders_without_journal_and_withdrawals_keep_the_rules() {
+    let mut world = troubled(vec![
+        trouble(What::ListRefused, 4.0, 6.0, 0.0, 0.0),
+        trouble(What::Drain, 6.0, 9.0, 0.0, 0.4),
+        trouble(What::Kill, 12.0, 3.0, 0.0, 0.3),
+    ]);
+    (world.list.ask, world.senders.journal) = (true, false);
+    (world.clients.withdraw, world.clients.short) = (0.1, 0.1);
+    let day = play(&world, 9, "module");
+    assert!(day.broken.is_empty(), "{:?}", day.broken.first());
+    assert!(day.counts.withdrawn > 20 && day.counts.delivered > 500, "{:?}", day.counts);
+}
+
+#[test]
+fn endpoints_that_return_fall_over_when_pushed_by_all_but_not_by_those_that_know_nothing() {
+    // Only sender 0 calls while it is down; the others come with a surge later and have seen nothing.
+    let mut world = troubled(vec![trouble(What::Down, 5.0, 6.0, 0.0, 0.0)]);
+    world.event_types.iter_mut().for_each(|t| t.effect = Effect::Idempotent);
+    let day = play(&world, 3, "random");
+    assert!(day.counts.falls > 0 && day.broken.iter().any(|b| b.rule == Rule::Returns));
+    // A trouble between one sender and the endpoints is no outage of theirs: nothing is cold after it.
+    world.troubles[0].on = Struck { senders: vec![0], ..Struck::default() };
+    let day = play(&world, 3, "random");
+    assert_eq!(day.counts.falls, 0);
+}
--- /dev/null
+++ b/crates/lab/src/play.rs
@@ -0,0 +1,184 @@
+//! Plays days: one or many, spread over the cores, with the time that the policy took.
+
+use crate::experiment::Experiment;
+use indicatif::{ProgressBar, ProgressStyle};
+use rayon::prelude::*;
+use scalebarrow::{Entry, ListMode, Outbox, Outcome};
+use scalebarrow_emulator::baselines::named;
+use scalebarrow_emulator::events::Line;
+use scalebarrow_emulator::policy::{Policy, Start};
+use scalebarrow_emulator::{Breach, Counts, Report, Window, run};
+use serde::{Deserialize, Serialize};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Set by Ctrl-C: days under way are played to their end, no others begin.
+pub static STOP: AtomicBool = AtomicBool::new(false);
+
+/// Measures how long a policy takes for its inputs.
+struct Timed {
+    policy: Box<dyn Policy>,
+    spent: Rc<Cell<Duration>>,
+}
+
+impl Timed {
+    fn time(&mut self, give: impl FnOnce(&mut dyn Policy)) {
+        let began = Instant::now();
+        give(&mut *self.policy);
+        self.spent.set(self.spent.get() + began.elapsed());
+    }
+}
+
+impl Policy for Timed {
+    fn list(&mut self, now: f64, mode: ListMode, entries: &[Entry], out: &mut dyn Outbox) {
+        // The whole list at a start is no matter of the cost of a decision.
+        self.policy.list(now, mode, entries, out);
+    }
+    fn webhook(
+        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        left: f64, out: &mut dyn Outbox,
+    ) {
+        self.time(|p| p.webhook(now, id, evt, dest, key, customer, left, out));
+    }
+    fn resumed(
+        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        left: f64, tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
+    ) {
+        self.time(|p| p.resumed(now, id, evt, dest, key, customer, left, tries, ran, out));
+    }
+    fn closing(&mut self, now: f64, by: f64, out: &mut dyn Outbox) {
+        self.time(|p| p.closing(now, by, out));
+    }
+    fn outcome(
+        &mut self, now: f64, id: u64, ep: &str, outcome: Outcome, took: f64, ended: bool,
+        report: Option<(f64, f64)>, out: &mut dyn Outbox,
+    ) {
+        self.time(|p| p.outcome(now, id, ep, outcome, took, ended, report, out));
+    }
+    fn told_wait(&mut self, now: f64, ep: &str, wait: f64, out: &mut dyn Outbox) {
+        self.time(|p| p.told_wait(now, ep, wait, out));
+    }
+    fn withdrawn(&mut self, now: f64, id: u64, out: &mut dyn Outbox) {
+        self.time(|p| p.withdrawn(now, id, out));
+    }
+    fn woken(&mut self, now: f64, handle: u64, out: &mut dyn Outbox) {
+        self.time(|p| p.woken(now, handle, out));
+    }
+}
+
+thread_local! {
+    /// What the policies of the day under way on this thread have taken: a day is played on one thread.
+    static SPENT: Rc<Cell<Duration>> = Rc::default();
+}
+
+/// Plays one day and measures what the policy took of it, in seconds, and the whole.
+pub fn day(
+    e: &Experiment, policy: &str, seed: u64, watch: &mut dyn FnMut(&Line),
+) -> Result<(Report, f64, f64), String> {
+    let make = named(policy).ok_or_else(|| format!("no policy is called {policy:?}"))?;
+    let spent = SPENT.with(Rc::clone);
+    spent.set(Duration::ZERO);
+    let maker = move |start: Start| -> Box<dyn Policy> {
+        Box::new(Timed { policy: make(start), spent: SPENT.with(Rc::clone) })
+    };
+    let began = Instant::now();
+    let report = run(&e.world, seed, &maker, watch).map_err(|f| f.to_string())?;
+    Ok((report, spent.get().as_secs_f64(), began.elapsed().as_secs_f64()))
+}
+
+/// What is written of a day: one JSON line.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Row {
+    pub experiment: String,
+    /// The fields that a sweep set, with their values.
+    pub point: Vec<(String, String)>,
+    pub policy: String,
+    pub seed: u64,
+    pub hash: String,
+    pub value: f64,
+    pub worst_window: f64,
+    /// Milliseconds from first hand-in to delivery, by percentile.
+    pub latency_ms: Vec<(f64, f64)>,
+    pub counts: Counts,
+    pub windows: Vec<Window>,
+    pub little_holds: bool,
+    pub broken: Vec<Breach>,
+    pub lines: Vec<String>,
+    /// Of this machine: seconds for the day, for the policy's part of it, and microseconds an input.
+    pub wall_s: f64,
+    pub policy_s: f64,
+    pub us_per_input: f64,
+}
+
+/// Percentiles that are written and drawn.
+const PERCENTILES: [f64; 12] = [1.0, 5.0, 10.0, 25.0, 50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 99.99, 100.0];
+
+impl Row {
+    pub fn of(
+        e: &Experiment, point: &[(String, toml::Value)], policy: &str, seed: u64,
+    ) -> Result<Row, String> {
+        let (r, policy_s, wall_s) = day(e, policy, seed, &mut |_| {})?;
+        let ms = |p: f64| (p, r.latency.value_at_quantile(p / 100.0) as f64 / 1e3);
+        Ok(Row {
+            experiment: e.name.clone(),
+            point: point.iter().map(|(f, v)| (f.clone(), shown(v))).collect(),
+            policy: policy.into(),
+            seed,
+            hash: format!("{:016x}", r.hash),
+            value: r.value,
+            worst_window: r.worst_window,
+            latency_ms: if r.latency.is_empty() { Vec::new() } else { PERCENTILES.map(ms).to_vec() },
+            us_per_input: policy_s * 1e6 / r.counts.inputs.max(1) as f64,
+            little_holds: r.little_holds(),
+            counts: r.counts,
+            windows: r.windows,
+            broken: r.broken,
+            lines: r.lines,
+            wall_s,
+            policy_s,
+        })
+    }
+}
+
+fn shown(v: &toml::Value) -> String {
+    match v {
+        toml::Value::String(s) => s.clone(),
+        v => v.to_string(),
+    }
+}
+
+/// One day to be played.
+pub struct Task {
+    pub experiment: Experiment,
+    pub point: Vec<(String, toml::Value)>,
+    pub policy: String,
+    pub seed: u64,
+}
+
+/// Plays days on all cores, or one after the other where times are measured, and hands each result on as it is there.
+/// After Ctrl-C those that are under way are finished and the others left out.
+pub fn all(tasks: Vec<Task>, one_by_one: bool, done: &(dyn Fn(&Row) + Sync)) -> Result<Vec<Row>, String> {
+    let bar = ProgressBar::new(tasks.len() as u64);
+    let style = ProgressStyle::with_template("{bar:30} {pos} of {len} days, {eta} left {msg}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let play = |t: &Task| {
+        if STOP.load(Ordering::Relaxed) {
+            return None;
+        }
+        let row = Row::of(&t.experiment, &t.point, &t.policy, t.seed);
+        if let Ok(row) = &row {
+            done(row);
+        }
+        bar.inc(1);
+        Some(row)
+    };
+    let rows: Result<Vec<Row>, String> = if one_by_one {
+        tasks.iter().filter_map(play).collect()
+    } else {
+        tasks.par_iter().filter_map(play).collect()
+    };
+    bar.finish_and_clear();
+    rows
+}
