Module: calls lost wherever they went at a destination are its outage; returns in turn

Lost calls at all endpoints of a destination now count together where nothing went well there for two seconds, and its routes wait for a turn, as trials do. It also covers destinations that hang or refuse connections behind one address. It could do harm where a destination's endpoints fail one after the other for reasons of their own.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -566,6 +566,14 @@
         }
     }
 
+    /// Calls to a destination got lost wherever they went: an outage, though no route had enough of them in a row.
+    fn all_failing(&self, dest: u64) -> bool {
+        let here = || self.dests.get(&dest).into_iter().flatten().filter_map(|ep| self.routes.get(ep));
+        // Three as for one route; two seconds, since what was sent then tells of the same moment.
+        let fine = |r: &Route| r.samples.iter().any(|s| s.good && s.at - s.took >= self.now - 2.0);
+        here().map(|r| r.bad_row).sum::<u32>() >= 3 && !here().any(fine)
+    }
+
     /// An outage was seen in a scope: its routes where no call sent after `since` went well come back cold.
     fn mark_outage(&mut self, scope: &Scope, since: f64) {
         let all = || self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice);
@@ -750,6 +758,18 @@
         r.bad_since = if r.bad_row == 1 && !r.outage { sent_at } else { r.bad_since };
         let fine = r.samples.iter().filter(|s| s.good).count();
         let quiet = !r.samples.iter().any(|s| s.good && s.at >= sent_at);
+        if scope.1.is_none() && self.all_failing(scope.0) {
+            self.mark_outage(&scope, now - 2.0);
+            // Each sender in its turn, as with trials: many may hold a webhook at the moment that it returns.
+            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), now - 4.0, 1.0).1;
+            let due = now + turn * (0.2 + 1.6 * jitter);
+            for ep in self.dests.get(&scope.0).into_iter().flatten() {
+                if let Some(r) = self.routes.get_mut(ep).filter(|r| r.outage && r.cold_due < now) {
+                    r.cold_due = due;
+                }
+            }
+        }
+        let Some(r) = self.routes.get_mut(&ep) else { return };
         // Two in a row with nothing good since, one error where nothing good is known (senders
         // of little traffic see no more of it), or most of five: the circuit opens.
         let alone = fine == 0 && outcome == Outcome::Failed;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -242,6 +242,14 @@
     // Six webhooks every half second, answered or not as the case says.
     let lost = "0 list a:z:plain:6\n0 hand 1 idem\n1.9 end 1 a lost\n2 hand 2 idem\n4 end 1 a lost\n6 end 2 a lost\n6.1 end 1 a lost";
     check(&[
+        (
+            // Two lost calls at one endpoint and one at another made no row of three: the others were sent whatever was
+            // held when the destination came back, and it was pushed over.
+            "calls lost wherever they went are an outage of the destination: what returns takes turns",
+            ONE,
+            "0 list a:z:plain:4 b:z:plain:4 c:z:plain:4 d:z:plain:4\n0 hand 1 idem\n0.1 end 1 d noconn\n1 pass\n1.1 end 1 d noconn\n3 pass\n3.1 end 1 a noconn\n4 hand 2 idem\n4 hand 3 idem\n4 hand 4 idem\n4 hand 5 idem\n4 hand 6 idem\n5 pass",
+            &[Sends(4.0, 4.2, 1..=3), Sends(4.0, 5.0, 1..=4)],
+        ),
         (
             "calls to a silent endpoint stop: webhooks are held",
             ONE,
