--- a/crates/emulator/tests/theory.rs
+++ b/crates/emulator/tests/theory.rs
@@ -46,7 +46,9 @@
     };
     std::thread::scope(|s| {
         let check = &check;
-        cases.map(|case| s.spawn(move || check(case)));
+        for case in cases {
+            s.spawn(move || check(case));
+        }
     });
 }
 
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -17,24 +17,38 @@
 /// Set by Ctrl-C: days under way are played to their end, no others begin.
 pub static STOP: AtomicBool = AtomicBool::new(false);
 
+/// How long policies took for their inputs: all of them, the slowest one, and the slowest list.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Took {
+    pub sum: Duration,
+    pub slowest: Duration,
+    pub list: Duration,
+}
+
 /// Measures how long a policy takes for its inputs.
 struct Timed {
     policy: Box<dyn Policy>,
-    spent: Rc<Cell<Duration>>,
+    took: Rc<Cell<Took>>,
 }
 
 impl Timed {
     fn time(&mut self, give: impl FnOnce(&mut dyn Policy)) {
         let began = Instant::now();
         give(&mut *self.policy);
-        self.spent.set(self.spent.get() + began.elapsed());
+        let (this, mut took) = (began.elapsed(), self.took.get());
+        took.sum += this;
+        took.slowest = took.slowest.max(this);
+        self.took.set(took);
     }
 }
 
 impl Policy for Timed {
     fn list(&mut self, now: f64, mode: ListMode, entries: &[Entry], out: &mut dyn Outbox) {
-        // The whole list at a start is no matter of the cost of a decision.
+        // A list is no matter of the cost of a decision: it has a figure of its own.
+        let began = Instant::now();
         self.policy.list(now, mode, entries, out);
+        let took = self.took.get();
+        self.took.set(Took { list: took.list.max(began.elapsed()), ..took });
     }
     fn webhook(
         &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
@@ -70,22 +84,22 @@
 
 thread_local! {
     /// What the policies of the day under way on this thread have taken: a day is played on one thread.
-    static SPENT: Rc<Cell<Duration>> = Rc::default();
+    static TOOK: Rc<Cell<Took>> = Rc::default();
 }
 
-/// Plays one day and measures what the policy took of it, in seconds, and the whole.
+/// Plays one day and measures what the policy took of it, and the whole in seconds.
 pub fn day(
     e: &Experiment, policy: &str, seed: u64, watch: &mut dyn FnMut(&Line),
-) -> Result<(Report, f64, f64), String> {
+) -> Result<(Report, Took, f64), String> {
     let make = named(policy).ok_or_else(|| format!("no policy is called {policy:?}"))?;
-    let spent = SPENT.with(Rc::clone);
-    spent.set(Duration::ZERO);
+    let took = TOOK.with(Rc::clone);
+    took.set(Took::default());
     let maker = move |start: Start| -> Box<dyn Policy> {
-        Box::new(Timed { policy: make(start), spent: SPENT.with(Rc::clone) })
+        Box::new(Timed { policy: make(start), took: TOOK.with(Rc::clone) })
     };
     let began = Instant::now();
     let report = run(&e.world, seed, &maker, watch).map_err(|f| f.to_string())?;
-    Ok((report, spent.get().as_secs_f64(), began.elapsed().as_secs_f64()))
+    Ok((report, took.get(), began.elapsed().as_secs_f64()))
 }
 
 /// What is written of a day: one JSON line.
@@ -110,6 +124,11 @@
     pub wall_s: f64,
     pub policy_s: f64,
     pub us_per_input: f64,
+    /// The slowest input but for lists, and the slowest list.
+    #[serde(default)]
+    pub slowest_us: f64,
+    #[serde(default)]
+    pub slowest_list_ms: f64,
 }
 
 /// Percentiles that are written and drawn.
@@ -119,7 +138,8 @@
     pub fn of(
         e: &Experiment, point: &[(String, toml::Value)], policy: &str, seed: u64,
     ) -> Result<Row, String> {
-        let (r, policy_s, wall_s) = day(e, policy, seed, &mut |_| {})?;
+        let (r, took, wall_s) = day(e, policy, seed, &mut |_| {})?;
+        let policy_s = took.sum.as_secs_f64();
         let ms = |p: f64| (p, r.latency.value_at_quantile(p / 100.0) as f64 / 1e3);
         Ok(Row {
             experiment: e.name.clone(),
@@ -131,6 +151,8 @@
             worst_window: r.worst_window,
             latency_ms: if r.latency.is_empty() { Vec::new() } else { PERCENTILES.map(ms).to_vec() },
             us_per_input: policy_s * 1e6 / r.counts.inputs.max(1) as f64,
+            slowest_us: took.slowest.as_secs_f64() * 1e6,
+            slowest_list_ms: took.list.as_secs_f64() * 1e3,
             little_holds: r.little_holds(),
             counts: r.counts,
             windows: r.windows,
--- a/crates/lab/src/results.rs
+++ b/crates/lab/src/results.rs
@@ -48,6 +48,8 @@
     pub held_most: u64,
     pub inputs: u64,
     pub us_per_input: f64,
+    pub slowest_us: f64,
+    pub slowest_list_ms: f64,
     pub events_per_s: f64,
     pub policy_share: f64,
 }
@@ -93,6 +95,8 @@
             held_most: rows.iter().map(|r| r.counts.held_most).max().unwrap_or(0),
             inputs: sum(&rows, |r| r.counts.inputs),
             us_per_input: mean(&rows, |r| r.us_per_input),
+            slowest_us: rows.iter().map(|r| r.slowest_us).fold(0.0, f64::max),
+            slowest_list_ms: rows.iter().map(|r| r.slowest_list_ms).fold(0.0, f64::max),
             events_per_s: sum(&rows, |r| r.counts.events) as f64 / rows.iter().map(|r| r.wall_s).sum::<f64>(),
             policy_share: mean(&rows, |r| r.policy_s / r.wall_s.max(1e-9)),
         };
@@ -118,7 +122,7 @@
             self.experiment, self.days, self.broken_days
         );
         println!(
-            "{:<18} {:<34} {:>6} {:>6} {:>9} {:>10} {:>9} {:>8} {:>8} {:>7} {:>9}",
+            "{:<18} {:<34} {:>6} {:>6} {:>9} {:>10} {:>9} {:>8} {:>8} {:>7} {:>9} {:>10}",
             "policy",
             "point",
             "value",
@@ -129,12 +133,13 @@
             "rejected",
             "dead",
             "broken",
-            "us/input"
+            "us/input",
+            "slowest us"
         );
         for l in &self.policies {
             let point: Vec<String> = l.point.iter().map(|(f, v)| format!("{f}={v}")).collect();
             println!(
-                "{:<18} {:<34} {:>6.3} {:>6.3} {:>9.1} {:>10.1} {:>9} {:>8} {:>8} {:>7} {:>9.1}",
+                "{:<18} {:<34} {:>6.3} {:>6.3} {:>9.1} {:>10.1} {:>9} {:>8} {:>8} {:>7} {:>9.1} {:>10.0}",
                 l.policy,
                 point.join(" "),
                 l.value,
@@ -145,7 +150,8 @@
                 l.rejected,
                 l.dead_lettered,
                 l.broken_days,
-                l.us_per_input
+                l.us_per_input,
+                l.slowest_us
             );
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,11 @@
 //! opened with [`Sender::open`], told its settings by the `set_*` methods, and then fed inputs in the order
 //! they come. All decisions are in `logic`; this file only passes them on.
 
+mod index;
 // The inputs come through as they are, each in its own argument.
 #[allow(clippy::too_many_arguments)]
 mod logic;
+mod state;
 
 /// What a webhook does at its destination when it arrives more than once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,13 +11,22 @@
 //! 5. queue: who gets scarce slots and room; connections that are scarce or go stale
 //! 6. attempt time-outs and further attempts
 
+use crate::index::{Facts, Gates, Held, Kinds, Timers};
+use crate::state::{Call, EventType, Meter, Name, Route, Sample, Webhook};
 use crate::{Effect, Entry, ListMode, Outbox, Outcome};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::rc::Rc;
 
-pub(crate) type Name = Rc<str>;
 /// What shares a limit, waits and outages: a destination, or one route of it where routes are apart.
 type Scope = (u64, Option<Name>);
+/// What decides how held webhooks of a destination are treated alike: event type, whether beyond their
+/// customer's share, and the zone that alone knows them for a repeat.
+type Group = (Name, bool, Option<Name>);
+
+/// Late or not, the value with its sign turned, the target time: least first.
+type Rank = (u8, f64, f64);
+
+/// The design's minute: a route that was unused for so long is as if it were new.
+const AGE: f64 = 60.0;
 
 struct Rule {
     name: &'static str,
@@ -47,100 +56,6 @@
     Rule { name: "wake", when: Logic::wake_due, then: Logic::set_wake },
 ];
 
-#[derive(Default)]
-struct EventType {
-    target: f64,
-    ttl: f64,
-    value: f64,
-    late: f64,
-    halves: bool,
-    effect: Effect,
-    known_for: f64,
-    by_all: bool,
-    ordered: bool,
-}
-
-#[derive(Default)]
-struct Webhook {
-    evt: Name,
-    dest: u64,
-    key: Option<Name>,
-    over: bool,
-    target_at: f64,
-    ttl_at: f64,
-    tries: u32,
-    out: Option<Name>,
-    /// First attempt that may have run: the zone of its endpoint and when it was sent.
-    ran: Option<(Name, f64)>,
-    not_before: f64,
-    ended: bool,
-}
-
-#[derive(Default)]
-struct Call {
-    at: f64,
-    trial: bool,
-    judged: bool,
-    called_off: bool,
-    idle: bool,
-    webhooks: BTreeSet<u64>,
-}
-
-struct Sample {
-    at: f64,
-    good: bool,
-    incident: bool,
-    took: f64,
-}
-
-#[derive(Default)]
-struct Route {
-    dest: u64,
-    kind: Name,
-    zone: Name,
-    batch: usize,
-    apart: bool,
-    rate: f64,
-    ready: bool,
-    window: f64,
-    calls: Vec<Call>,
-    samples: VecDeque<Sample>,
-    bad_row: u32,
-    /// When the first call of the row, or of the outage, went wrong.
-    bad_since: f64,
-    open: bool,
-    trial_at: f64,
-    cooling: f64,
-    /// Refused, while others of its destination could be asked: left to them until then.
-    aside: f64,
-    answered: f64,
-    used: f64,
-    /// When the last call went out, and how long after the one before.
-    call_at: f64,
-    call_gap: f64,
-    /// Connections are short: the window stays as it is until then.
-    short_until: f64,
-    /// Connections open at most, and when none could be had.
-    links: usize,
-    no_link_at: Option<f64>,
-    /// Back from an outage that this sender saw, or still in one: when it answered again, and when this
-    /// sender's part of the cold budget has room for the next call.
-    outage: bool,
-    back: Option<f64>,
-    cold_due: f64,
-}
-
-#[derive(Default)]
-struct Meter {
-    wait_until: f64,
-    sent: VecDeque<f64>,
-    share: f64,
-    full_row: u32,
-    full_since: f64,
-    limits: VecDeque<(f64, f64)>,
-    left: Option<(f64, f64)>,
-}
-
 #[derive(Default)]
 pub(crate) struct Logic {
     pub now: f64,
@@ -159,9 +74,11 @@
     ask_at: f64,
     refusals: u32,
     routes: BTreeMap<Name, Route>,
-    /// Routes with calls out, and those with connections open.
+    /// Routes with calls out, and how many are by destination.
     active: BTreeSet<Name>,
-    linked: BTreeSet<Name>,
+    out: BTreeMap<u64, usize>,
+    /// By kind: routes with idle connections where nothing waits for them, and those seldom used.
+    spare: Kinds<Name>,
     /// By kind: until when no idle connection is kept, and calls delivered since a connect failed.
     thrift: BTreeMap<Name, (f64, u32)>,
     pub idle_for: f64,
@@ -169,7 +86,9 @@
     meters: BTreeMap<Scope, Meter>,
     pub rate_error: f64,
     pub cold: (f64, f64, f64),
-    held: BTreeMap<u64, Vec<u64>>,
+    held: Held<Group>,
+    /// Destinations with webhooks to send and no calls out.
+    gates: Gates,
     pub slots: usize,
     busy: usize,
     pub holds: usize,
@@ -185,6 +104,9 @@
     current: BTreeMap<u64, Name>,
     wake_at: Option<f64>,
     next_age: f64,
+    /// When routes have been unused for the time in which they age, and those that have.
+    ages: Timers<Name>,
+    aging: BTreeSet<Name>,
     pub closes_at: f64,
 }
 
@@ -220,14 +142,88 @@
         // Every firing ends a webhook, sends one, or moves a time; the bound guards against a mistake there.
         let mut last = "";
         for _ in 0..100_000 {
+            self.refresh();
             let found = RULES.iter().find_map(|r| (r.when)(self).map(|p| (r, p)));
-            let Some((rule, pick)) = found else { return };
+            let Some((rule, pick)) = found else {
+                if self.busy < self.slots {
+                    self.gates.seen();
+                }
+                return;
+            };
             last = rule.name;
             (rule.then)(self, pick, out);
         }
         out.log(&format!("rules did not come to rest; the last was {last}"));
     }
 
+    /// Brings the indexes up to date: what a time has come for, and the destinations where something changed.
+    fn refresh(&mut self) {
+        let now = self.now;
+        self.held.pass(now);
+        // What may still come back depends on the time alone then, and on each route's answers.
+        if self.closes_at < f64::INFINITY {
+            self.held.changed.extend(self.held.ready.keys());
+        }
+        while let Some(dest) = self.gates.due(now) {
+            self.held.changed.insert(dest);
+        }
+        while let Some(dest) = self.held.changed.pop_first() {
+            self.look(dest);
+        }
+        while now >= self.next_age
+            && let Some(ep) = self.ages.due(now)
+        {
+            self.aging.insert(ep);
+        }
+    }
+
+    /// Looks at a destination where something changed. While calls are out its gates hang on more than its
+    /// own state (patience follows all calls): such ones, as many as slots at most, are looked at each time.
+    fn look(&mut self, dest: u64) {
+        let (now, idle_for, waits) = (self.now, self.idle_for, self.held.any_for(dest));
+        let eps = self.dests.get(&dest).map_or(&[][..], Vec::as_slice);
+        let (mut idle, mut open) = (self.held.ready.contains_key(&dest), false);
+        let (mut next, mut again) = (f64::INFINITY, f64::INFINITY);
+        for (ep, r) in eps.iter().filter_map(|ep| Some((ep, self.routes.get(ep)?))) {
+            let free = r.links > r.calls.len() && !waits;
+            self.spare.set(&r.kind, ep, [free, free && r.call_gap > idle_for]);
+            idle &= r.calls.is_empty();
+            if idle {
+                let at = self.opens_at(ep, r);
+                open |= at <= now;
+                next = if at > now { next.min(at) } else { next };
+                // The rate that is told changes as reports of it grow old.
+                let m = self.meters.get(&Self::scope(ep, r));
+                let old = m.into_iter().flat_map(|m| &m.limits).map(|l| l.0 + 5.0).filter(|t| *t > now);
+                again = old.fold(again, f64::min);
+            }
+        }
+        if idle {
+            self.gates.set(dest, open, next, again)
+        } else {
+            self.gates.set(dest, false, f64::INFINITY, f64::INFINITY)
+        }
+    }
+
+    /// Destinations with webhooks to send and calls out.
+    fn active(&self) -> BTreeSet<u64> {
+        let (out, ready) = (&self.out, &self.held.ready);
+        // Through the shorter of the two.
+        if out.len() < ready.len() {
+            out.keys().filter(|d| ready.contains_key(d)).copied().collect()
+        } else {
+            ready.keys().filter(|d| out.contains_key(d)).copied().collect()
+        }
+    }
+
+    /// Destinations with webhooks to send where a route may take a call now, in order.
+    fn movable(&self) -> BTreeSet<u64> {
+        let mut all = self.active();
+        // Without a free slot only calls of this turn take more, and those are out.
+        all.extend(self.gates.open().iter().filter(|_| self.busy < self.slots));
+        all
+    }
+
     // ---- inputs ----
 
     pub fn list(&mut self, now: f64, mode: ListMode, entries: &[Entry]) {
@@ -245,7 +241,11 @@
             ListMode::Changes | ListMode::Whole => (self.watching, self.refusals) = (self.ask, 0),
         }
         if mode != ListMode::Changes {
-            self.routes.values_mut().for_each(|r| r.ready = false);
+            for (ep, r) in &mut self.routes {
+                r.ready = false;
+                self.ages.set(ep.clone(), r.used + AGE);
+            }
+            self.held.changed.extend(self.held.ready.keys());
         }
         for e in entries {
             let (batch, apart) = self.kinds.get(e.kind).copied().unwrap_or((1, false));
@@ -259,6 +259,10 @@
             }
             let Some(r) = self.routes.get_mut(e.ep) else { continue };
             (r.ready, r.rate) = (e.ready, if e.rate.is_finite() { e.rate.max(0.0) } else { 0.0 });
+            if !r.ready {
+                self.ages.set(e.ep.into(), r.used + AGE);
+            }
+            self.held.changed.insert(e.dest);
         }
     }
 
@@ -279,7 +283,7 @@
         let tries = if self.dests.contains_key(&dest) { 0 } else { u32::MAX };
         let w = Webhook { evt, dest, key, over, target_at, ttl_at, tries, ..Webhook::default() };
         self.webhooks.insert(id, w);
-        self.held.entry(dest).or_default().push(id);
+        self.hold(id);
     }
 
     pub fn outcome(
@@ -314,7 +318,7 @@
         // short stall is over by then) when all did, up to 2 s when none.
         let good = self.retries.iter().filter(|g| **g).count() + 1;
         w.not_before = now + (0.1 * (self.retries.len() + 1) as f64 / good as f64).min(2.0);
-        self.held.entry(w.dest).or_default().push(id);
+        self.hold(id);
     }
 
     /// Back after a restart, with its attempts, and where and when the first went that may have run.
@@ -322,7 +326,11 @@
         let Some(w) = self.webhooks.get_mut(&id) else { return };
         (w.tries, w.ran) = (tries, ran.map(|(zone, at)| (zone.into(), at)));
         let key = w.key.clone().filter(|_| w.ran.is_some());
-        self.key_rests.extend(key.map(|k| (k, self.now + self.key_rest)));
+        self.hold(id);
+        if let Some(k) = key {
+            self.key_rests.insert(k.clone(), self.now + self.key_rest);
+            self.front_again(&k);
+        }
     }
 
     pub fn withdrawn(&mut self, now: f64, id: u64) {
@@ -344,17 +352,42 @@
 
     fn close(&mut self, id: u64) {
         let Some(w) = self.webhooks.remove(&id) else { return };
-        self.unhold(w.dest, id);
-        self.key_lines.retain(|k, line| {
-            line.retain(|x| *x != id || w.key.as_ref() != Some(k));
-            !line.is_empty()
-        });
+        self.held.take(id);
+        let Some(k) = &w.key else { return };
+        let line = self.key_lines.entry(k.clone()).or_default();
+        line.retain(|x| *x != id);
+        if line.is_empty() {
+            self.key_lines.remove(k);
+        }
+        self.front_again(k);
+    }
+
+    /// Holds a webhook, or puts it where it belongs now if it is held.
+    fn hold(&mut self, id: u64) {
+        let Some(w) = self.webhooks.get(&id) else { return };
+        let t = self.types.get(&w.evt);
+        // No further attempt is allowed.
+        let over = t.is_none() || w.tries >= self.attempts;
+        let by_zone = t.is_some_and(|t| t.effect == Effect::Tokened && !t.by_all);
+        let zone = w.ran.as_ref().filter(|_| by_zone).map(|r| r.0.clone());
+        let facts = Facts {
+            dest: w.dest,
+            // 5 ms before TTL, no attempt can come back in time any more.
+            late_at: w.ttl_at - 0.005,
+            spent_at: if over { f64::NEG_INFINITY } else { self.repeat_until(w) },
+            own_at: w.not_before.max(self.turn_at(id, w)),
+            group: (w.evt.clone(), w.over, zone),
+            target_at: w.target_at,
+        };
+        self.held.put(id, facts);
     }
 
-    /// Destinations with nothing held have no entry: rules look through all entries after every input.
-    fn unhold(&mut self, dest: u64, id: u64) {
-        self.held.entry(dest).or_default().retain(|x| *x != id);
-        self.held.retain(|_, ids| !ids.is_empty());
+    /// The first of a key may be another one now, or have to rest.
+    fn front_again(&mut self, key: &Name) {
+        let front = self.key_lines.get(key).and_then(|l| l.front()).copied();
+        if let Some(id) = front.filter(|id| self.held.has(*id)) {
+            self.hold(id);
+        }
     }
 
     /// Handing in again does no harm: nothing may have run, or whoever gets a repeat knows it.
@@ -374,13 +407,6 @@
         }
     }
 
-    /// Sending to an endpoint in `zone` cannot make a second effect.
-    fn may_repeat(&self, w: &Webhook, zone: &str) -> bool {
-        let (Some(t), Some((first, _))) = (self.types.get(&w.evt), &w.ran) else { return w.ran.is_none() };
-        let known = t.effect != Effect::Tokened || t.by_all || **first == *zone;
-        known && self.now < self.repeat_until(w)
-    }
-
     /// When it is a webhook's turn among those of its key, as far as time alone decides it.
     fn turn_at(&self, id: u64, w: &Webhook) -> f64 {
         let Some(k) = &w.key else { return 0.0 };
@@ -392,18 +418,12 @@
     }
 
     fn out_of_time(&self) -> Option<Pick> {
-        // 5 ms before TTL, no attempt can come back in time any more.
-        let late = |id: &&u64| self.webhooks.get(id).is_some_and(|w| self.now >= w.ttl_at - 0.005);
-        self.held.values().flatten().find(late).map(|id| Pick::Webhook(*id))
+        self.held.first_late().map(Pick::Webhook)
     }
 
     /// No further attempt is allowed: the tries are used up, or it may have run and must not be repeated.
     fn spent(&self) -> Option<Pick> {
-        let done = |id: &&u64| {
-            let Some(w) = self.webhooks.get(id) else { return false };
-            self.now >= self.repeat_until(w) || w.tries >= self.attempts || !self.types.contains_key(&w.evt)
-        };
-        self.held.values().flatten().find(done).map(|id| Pick::Webhook(*id))
+        self.held.first_spent().map(Pick::Webhook)
     }
 
     /// The holding limit is near: the held webhook with the least still to win makes room.
@@ -413,7 +433,7 @@
         }
         let worth = |id: &&u64| self.webhooks.get(id).map_or(0.0, |w| self.value(w, self.now + 1.0));
         let least = |a: &&u64, b: &&u64| worth(a).total_cmp(&worth(b));
-        self.held.values().flatten().min_by(least).map(|id| Pick::Webhook(*id))
+        self.held.ids().min_by(least).map(|id| Pick::Webhook(*id))
     }
 
     fn give_up(&mut self, pick: Pick, out: &mut dyn Outbox) {
@@ -443,26 +463,32 @@
         if self.now < self.next_age {
             return None;
         }
-        // The design's minute; a route with calls out is in use.
+        // A route with calls out is in use.
         let old =
-            |r: &Route| r.calls.is_empty() && r.used + 60.0 < self.now && !(r.ready && r.samples.is_empty());
-        let found = self.routes.iter().find(|(_, r)| old(r));
-        found.map(|(ep, _)| Pick::Route(ep.clone())).or(Some(Pick::Any))
+            |r: &Route| r.calls.is_empty() && r.used + AGE < self.now && !(r.ready && r.samples.is_empty());
+        let found = self.aging.iter().find(|ep| self.routes.get(*ep).is_some_and(old));
+        found.cloned().map(Pick::Route).or(Some(Pick::Any))
     }
 
     fn forget(&mut self, pick: Pick, _: &mut dyn Outbox) {
         let Pick::Route(ep) = pick else {
             self.next_age = self.now + 5.0;
+            self.aging.clear();
             self.key_rests.retain(|_, t| *t + 1.0 > self.now);
             return;
         };
         let first = self.first_window();
+        self.held.changed.extend(self.routes.get(&ep).map(|r| r.dest));
         if let Some(r) = self.routes.get_mut(&ep).filter(|r| r.ready) {
             r.samples.clear();
             (r.bad_row, r.open, r.window) = (0, false, first);
         } else if let Some(r) = self.routes.remove(&ep) {
             self.dests.entry(r.dest).or_default().retain(|x| *x != ep);
-            self.meters.retain(|s, m| s.1.as_ref() != Some(&ep) || m.wait_until > self.now);
+            self.spare.set(&r.kind, &ep, [false; 2]);
+            let scope = (r.dest, Some(ep));
+            if self.meters.get(&scope).is_some_and(|m| m.wait_until <= self.now) {
+                self.meters.remove(&scope);
+            }
         }
     }
 
@@ -522,21 +548,25 @@
 
     /// Endpoints of one destination share its rate and capacity. Those that left have no part in it.
     fn endpoints(&self, r: &Route) -> f64 {
-        let shares = |x: &&Route| x.ready && x.dest == r.dest;
-        if r.apart { 1.0 } else { self.routes.values().filter(shares).count().max(1) as f64 }
+        let eps = || self.dests.get(&r.dest).into_iter().flatten();
+        let ready = |ep: &&Name| self.routes.get(*ep).is_some_and(|x| x.ready);
+        if r.apart { 1.0 } else { eps().filter(ready).count().max(1) as f64 }
     }
 
     fn cooling_off(&mut self, ep: &Name, scope: &Scope, wait: f64) {
         let jitter = self.chance();
         let (now, senders) = (self.now, self.senders);
         // It may drain or be new and cold. A limit makes all refuse; below 4 calls/s each, one tells of it.
-        let here = |r: &Route| r.dest == scope.0 && r.rate >= 4.0 * senders;
-        let free = |r: &Route| here(r) && r.ready && !r.open && r.aside <= now;
-        if wait <= 0.0 && scope.1.is_none() && self.routes.iter().any(|(x, r)| x != ep && free(r)) {
+        let free = |r: &Route| r.rate >= 4.0 * senders && r.ready && !r.open && r.aside <= now;
+        let eps = self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice);
+        let other = |x: &Name| x != ep && self.routes.get(x).is_some_and(free);
+        if wait <= 0.0 && scope.1.is_none() && eps.iter().any(other) {
             self.routes.entry(ep.clone()).and_modify(|r| r.aside = now + 1.0);
             return;
         }
-        self.routes.values_mut().filter(|r| r.dest == scope.0).for_each(|r| r.aside = 0.0);
+        for x in eps {
+            self.routes.entry(x.clone()).and_modify(|r| r.aside = 0.0);
+        }
         let m = self.meters.entry(scope.clone()).or_default();
         m.full_since = if m.full_row == 0 { now } else { m.full_since };
         m.full_row += 1;
@@ -566,7 +596,7 @@
         }
     }
 
-    /// Calls to a destination got lost wherever they went: an outage, though no route had enough of them in a row.
+    /// Calls to a destination got lost wherever they went: an outage, though no route had a row of three.
     fn all_failing(&self, dest: u64) -> bool {
         let here = || self.dests.get(&dest).into_iter().flatten().filter_map(|ep| self.routes.get(ep));
         // Three as for one route; two seconds, since what was sent then tells of the same moment.
@@ -641,11 +671,13 @@
 
     fn call_off(&mut self, pick: Pick, out: &mut dyn Outbox) {
         let Pick::Webhook(id) = pick else { return };
-        let calls = self.routes.values_mut().flat_map(|r| r.calls.iter_mut());
-        for call in calls.filter(|c| c.webhooks.contains(&id)) {
-            call.called_off = true;
-            for id in &call.webhooks {
-                out.call_off(*id, self.webhooks.get(id).map_or(0, |w| w.tries.saturating_sub(1)));
+        for ep in &self.active {
+            let calls = self.routes.get_mut(ep).into_iter().flat_map(|r| &mut r.calls);
+            for call in calls.filter(|c| c.webhooks.contains(&id)) {
+                call.called_off = true;
+                for id in &call.webhooks {
+                    out.call_off(*id, self.webhooks.get(id).map_or(0, |w| w.tries.saturating_sub(1)));
+                }
             }
         }
     }
@@ -656,6 +688,7 @@
         let Some((ep, r)) = self.routes.get_key_value(ep) else { return };
         let (ep, scope) = (ep.clone(), Self::scope(ep, r));
         let Some(r) = self.routes.get_mut(&ep) else { return };
+        self.held.changed.insert(scope.0);
         let m = self.meters.entry(scope.clone()).or_default();
         if let Outcome::Full(wait @ 0.001..) = outcome {
             // 1 ms more, so that rounding cannot end it early; a batch tells it again with each outcome.
@@ -670,12 +703,19 @@
         if call.webhooks.is_empty() {
             r.calls.remove(at);
             self.busy -= 1;
-            self.active.retain(|x| *x != ep || !r.calls.is_empty());
+            if r.calls.is_empty() {
+                self.active.remove(&ep);
+            }
+            match self.out.get_mut(&scope.0).filter(|n| **n > 1) {
+                Some(n) => *n -= 1,
+                None => drop(self.out.remove(&scope.0)),
+            }
         }
         if !first {
             return;
         }
         r.used = now;
+        self.ages.set(ep.clone(), now + AGE);
         // Only the first loss of a row counts: a hung endpoint is tried again and again after a pause.
         let lost = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Reset);
         self.stale.extend((!trial && r.bad_row == 0).then_some((now, idle, lost)));
@@ -869,48 +909,50 @@
 
     /// Order of service, least first: those that can still make the target latency, dearest and soonest
     /// first; then the late ones, the most valuable first.
-    fn rank(&self, w: &Webhook, usual: f64) -> (u8, f64, f64) {
+    fn rank(&self, w: &Webhook, usual: f64) -> Rank {
         let at = self.now + usual;
         (u8::from(at > w.target_at), -self.value(w, at), w.target_at)
     }
 
     fn sendable(&self) -> Option<Pick> {
-        let mut best: Option<((u8, f64, f64), u64, Name)> = None;
-        for (dest, ids) in &self.held {
-            let routes = self.routes_now(*dest);
-            let Some(first) = routes.first() else { continue };
+        let mut best: Option<(Rank, u64, Name)> = None;
+        for dest in self.movable() {
+            let routes = self.routes_now(dest);
+            let (Some(first), Some(groups)) = (routes.first(), self.held.ready.get(&dest)) else { continue };
             let usual = self.slow_end(&self.routes[*first]);
-            for id in ids {
-                let Some(w) = self.webhooks.get(id) else { continue };
-                if self.now < w.not_before.max(self.turn_at(*id, w)) {
-                    continue;
-                }
-                let rank = self.rank(w, usual);
-                let better = best.as_ref().is_none_or(|b| rank < b.0);
-                let fits = |ep: &&&Name| self.may_repeat(w, &self.routes[**ep].zone);
-                if let Some(ep) = routes.iter().filter(|_| better).find(fits) {
-                    best = Some((rank, *id, (*ep).clone()));
+            let mut here: Option<(Rank, u64, u64, &Name)> = None;
+            for (group, queue) in groups {
+                let fits = |ep: &&&Name| group.2.as_ref().is_none_or(|zone| *zone == self.routes[**ep].zone);
+                let Some(ep) = routes.iter().find(fits) else { continue };
+                let at = self.now + usual;
+                let value = |id| self.webhooks.get(&id).map_or(0.0, |w| self.value(w, at));
+                let Some((place, id)) = queue.first(at, value) else { continue };
+                let rank = self.rank(&self.webhooks[&id], usual);
+                if here.as_ref().is_none_or(|h| (rank, place) < (h.0, h.1)) {
+                    here = Some((rank, place, id, ep));
                 }
             }
+            if let Some((rank, _, id, ep)) = here.filter(|h| best.as_ref().is_none_or(|b| h.0 < b.0)) {
+                best = Some((rank, id, ep.clone()));
+            }
         }
         best.map(|(_, id, ep)| Pick::Send(id, ep))
     }
 
     /// An open circuit admits one trial call when its time has come: the webhook that loses least by it.
     fn trial_due(&self) -> Option<Pick> {
-        for (dest, ids) in &self.held {
-            let eps =
-                self.dests.get(dest).into_iter().flatten().filter_map(|ep| Some((ep, self.routes.get(ep)?)));
+        for dest in self.movable() {
+            let eps = self.dests.get(&dest).into_iter().flatten();
+            let eps = eps.filter_map(|ep| Some((ep, self.routes.get(ep)?)));
             for (ep, r) in eps.filter(|(ep, r)| r.open && self.free_at(ep, r) <= self.now) {
-                let able = |id: &&u64| {
-                    let Some(w) = self.webhooks.get(id) else { return false };
-                    self.now >= w.not_before.max(self.turn_at(**id, w)) && self.may_repeat(w, &r.zone)
-                };
-                let harm = |id: &&u64| {
-                    let effect = self.webhooks.get(id).and_then(|w| self.types.get(&w.evt)).map(|t| t.effect);
+                let able = |g: &Group| g.2.as_ref().is_none_or(|zone| *zone == r.zone);
+                let harm = |g: &Group| {
+                    let effect = self.types.get(&g.0).map(|t| t.effect);
                     (effect == Some(Effect::AtMostOnce), effect == Some(Effect::Tokened))
                 };
-                if let Some(id) = ids.iter().filter(able).min_by_key(harm) {
+                let groups = self.held.ready.get(&dest).into_iter().flatten().filter(|(g, _)| able(g));
+                let firsts = groups.filter_map(|(g, q)| Some((harm(g), q.by_place.first_key_value()?)));
+                if let Some((_, (_, id))) = firsts.min() {
                     return Some(Pick::Send(*id, ep.clone()));
                 }
             }
@@ -949,6 +991,7 @@
             r.links = r.links.max(r.calls.len());
             (r.call_gap, r.call_at) = (now - r.call_at, now);
             self.busy += 1;
+            *self.out.entry(dest).or_default() += 1;
             r.cold_due = r.cold_due.max(now) + if r.outage { turn } else { 0.0 };
             m.sent.push_back(now);
             // 400 calls: more than any destination here takes in a second.
@@ -956,22 +999,21 @@
         }
         r.used = now;
         self.webhooks.entry(id).and_modify(|w| (w.out, w.tries) = (Some(ep.clone()), w.tries + 1));
-        self.unhold(dest, id);
+        self.held.take(id);
         self.active.insert(ep.clone());
-        self.linked.insert(ep.clone());
+        self.ages.set(ep.clone(), now + AGE);
         self.current.insert(dest, ep);
     }
 
     /// Idle connections keep others out where endpoints take few. They close when nothing waits for them,
     /// where a connect failed lately (a handshake a call), or calls come further apart than they stay open.
     fn spare_links(&self) -> Option<Pick> {
-        let spare = |r: &Route| {
-            let (until, good) = self.thrift.get(&r.kind).copied().unwrap_or((self.now, 0));
+        let which = |kind: &Name| {
+            let (until, good) = self.thrift.get(kind).copied().unwrap_or((self.now, 0));
             // 30 calls: enough connects to meet a scarcity.
-            let rare = good < 30 && r.call_gap > self.idle_for;
-            r.links > r.calls.len() && (self.now < until || rare) && !self.held.contains_key(&r.dest)
+            if self.now < until { Some(0) } else { Some(1).filter(|_| good < 30) }
         };
-        self.linked.iter().find(|ep| self.routes.get(*ep).is_some_and(spare)).cloned().map(Pick::Route)
+        self.spare.first(which).map(Pick::Route)
     }
 
     fn close_links(&mut self, pick: Pick, out: &mut dyn Outbox) {
@@ -979,7 +1021,7 @@
         out.close_idle(&ep);
         if let Some(r) = self.routes.get_mut(&ep) {
             r.links = r.calls.len();
-            self.linked.retain(|x| *x != ep || r.links > 0);
+            self.held.changed.insert(r.dest);
         }
     }
 
@@ -1000,16 +1042,13 @@
     /// When a rule may fire next without further input. What only an outcome can change needs no wake.
     fn next_at(&self) -> f64 {
         let mut at = if self.ask && !self.watching { self.ask_at } else { f64::INFINITY };
-        for (dest, ids) in &self.held {
-            let eps =
-                self.dests.get(dest).into_iter().flatten().filter_map(|ep| Some((ep, self.routes.get(ep)?)));
-            let later = eps.map(|(ep, r)| self.free_at(ep, r)).filter(|t| *t > self.now);
-            let route = later.fold(f64::INFINITY, f64::min);
-            for (id, w) in ids.iter().filter_map(|id| Some((id, self.webhooks.get(id)?))) {
-                let own = w.not_before.max(self.turn_at(*id, w));
-                let ends = self.repeat_until(w).min(w.ttl_at - 0.005);
-                at = at.min(ends).min(if own > self.now { own } else { route });
-            }
+        at = at.min(self.held.next());
+        if self.busy < self.slots {
+            at = at.min(self.gates.next());
+            let active = self.active();
+            let eps = active.iter().filter_map(|d| self.dests.get(d)).flatten();
+            let times = eps.filter_map(|ep| Some(self.opens_at(ep, self.routes.get(ep)?)));
+            at = times.filter(|t| *t > self.now).fold(at, f64::min);
         }
         if self.busy >= self.slots && !self.held.is_empty() && self.may_call_off {
             at = self.patience_ends().map(|c| c.0).fold(at, f64::min);
@@ -1020,10 +1059,15 @@
 
     /// When a route takes a call, as far as time alone decides it.
     fn free_at(&self, ep: &Name, r: &Route) -> f64 {
+        if self.busy >= self.slots { f64::INFINITY } else { self.opens_at(ep, r) }
+    }
+
+    /// The same where there are slots.
+    fn opens_at(&self, ep: &Name, r: &Route) -> f64 {
         let full = if r.open { !r.calls.is_empty() } else { r.calls.len() as f64 + 1.0 > r.window };
         // A call that is out when the process ends may have run, and nobody hears how it ended.
         let closes = self.now + self.slow_end(r) > self.closes_at;
-        if !r.ready || full || closes || self.busy >= self.slots || (!r.open && self.silent(r)) {
+        if !r.ready || full || closes || (!r.open && self.silent(r)) {
             return f64::INFINITY;
         }
         self.pace_end(ep, r, false).max(if r.open { r.trial_at } else { r.aside })
@@ -1036,3 +1080,7 @@
         out.wake(at - self.now + 0.0005, 0);
     }
 }
+
+#[cfg(test)]
+#[path = "scan.rs"]
+mod scan;
--- /dev/null
+++ b/src/scan.rs
@@ -0,0 +1,237 @@
+//! The indexes against plain scans of all that is held, before every rule that fires on random days.
+
+use super::*;
+use proptest::prelude::*;
+
+/// Held: handed in or back, and neither out nor over.
+fn held(l: &Logic) -> Vec<(u64, u64)> {
+    let mut all: Vec<(u64, u64)> = l.held.ids().map(|id| (l.webhooks[id].dest, *id)).collect();
+    let out = l.webhooks.iter().filter(|(_, w)| w.out.is_some()).count();
+    assert_eq!(all.len() + out, l.webhooks.len(), "each webhook is either held or out");
+    all.sort_by_key(|x| x.0);
+    all
+}
+
+fn may_repeat(l: &Logic, w: &Webhook, zone: &str) -> bool {
+    let (Some(t), Some((first, _))) = (l.types.get(&w.evt), &w.ran) else { return w.ran.is_none() };
+    let known = t.effect != Effect::Tokened || t.by_all || **first == *zone;
+    known && l.now < l.repeat_until(w)
+}
+
+fn able(l: &Logic, id: u64) -> bool {
+    let w = &l.webhooks[&id];
+    l.now >= w.not_before.max(l.turn_at(id, w))
+}
+
+fn late(l: &Logic) -> Option<u64> {
+    held(l).into_iter().map(|x| x.1).find(|id| l.now >= l.webhooks[id].ttl_at - 0.005)
+}
+
+fn spent(l: &Logic) -> Option<u64> {
+    let over = |id: &u64| {
+        let w = &l.webhooks[id];
+        l.now >= l.repeat_until(w) || w.tries >= l.attempts || !l.types.contains_key(&w.evt)
+    };
+    held(l).into_iter().map(|x| x.1).find(over)
+}
+
+fn sendable(l: &Logic) -> Option<(u64, Name)> {
+    let mut best: Option<(Rank, u64, Name)> = None;
+    for (dest, id) in held(l) {
+        let routes = l.routes_now(dest);
+        let Some(first) = routes.first() else { continue };
+        let w = &l.webhooks[&id];
+        let rank = l.rank(w, l.slow_end(&l.routes[*first]));
+        let fits = |ep: &&&Name| may_repeat(l, w, &l.routes[**ep].zone);
+        if let Some(ep) = routes.iter().find(fits).filter(|_| able(l, id))
+            && best.as_ref().is_none_or(|b| rank < b.0)
+        {
+            best = Some((rank, id, (*ep).clone()));
+        }
+    }
+    best.map(|b| (b.1, b.2))
+}
+
+fn trial(l: &Logic) -> Option<(u64, Name)> {
+    let all = held(l);
+    for (dest, eps) in &l.dests {
+        for ep in eps {
+            let r = &l.routes[ep];
+            if !r.open || l.free_at(ep, r) > l.now {
+                continue;
+            }
+            let fits =
+                |x: &&(u64, u64)| x.0 == *dest && able(l, x.1) && may_repeat(l, &l.webhooks[&x.1], &r.zone);
+            let harm = |x: &&(u64, u64)| {
+                let effect = l.types.get(&l.webhooks[&x.1].evt).map(|t| t.effect);
+                (effect == Some(Effect::AtMostOnce), effect == Some(Effect::Tokened))
+            };
+            if let Some(x) = all.iter().filter(fits).min_by_key(harm) {
+                return Some((x.1, ep.clone()));
+            }
+        }
+    }
+    None
+}
+
+fn next(l: &Logic) -> f64 {
+    let mut at = if l.ask && !l.watching { l.ask_at } else { f64::INFINITY };
+    for (dest, id) in held(l) {
+        let eps = l.dests.get(&dest).into_iter().flatten();
+        let times = eps.map(|ep| l.free_at(ep, &l.routes[ep])).filter(|t| *t > l.now);
+        let w = &l.webhooks[&id];
+        let own = w.not_before.max(l.turn_at(id, w));
+        let route = if own > l.now { own } else { times.fold(f64::INFINITY, f64::min) };
+        at = at.min(l.repeat_until(w)).min(w.ttl_at - 0.005).min(route);
+    }
+    if l.busy >= l.slots && !l.held.is_empty() && l.may_call_off {
+        at = l.patience_ends().map(|c| c.0).fold(at, f64::min);
+    }
+    at.max(l.now + 0.01)
+}
+
+fn spare(l: &Logic) -> Option<Name> {
+    let all = held(l);
+    let is = |r: &Route| {
+        let (until, good) = l.thrift.get(&r.kind).copied().unwrap_or((l.now, 0));
+        let rare = good < 30 && r.call_gap > l.idle_for;
+        r.links > r.calls.len() && (l.now < until || rare) && !all.iter().any(|x| x.0 == r.dest)
+    };
+    l.routes.iter().find(|(_, r)| is(r)).map(|x| x.0.clone())
+}
+
+#[derive(Default)]
+struct Desk {
+    out: Vec<(u64, String, f64)>,
+}
+
+impl Outbox for Desk {
+    fn attempt(&mut self, webhook: u64, ep: &str, _: f64) {
+        self.out.push((webhook, ep.into(), 0.0));
+    }
+    fn call_off(&mut self, _: u64, _: u32) {}
+    fn reject(&mut self, _: u64, _: f64) {}
+    fn dead_letter(&mut self, _: u64) {}
+    fn wake(&mut self, _: f64, _: u64) {}
+    fn watch(&mut self, _: bool) {}
+    fn close_idle(&mut self, _: &str) {}
+    fn log(&mut self, text: &str) {
+        panic!("{text}");
+    }
+}
+
+/// Goes through the rules as `settle` does, with each index compared before each firing.
+fn settle(l: &mut Logic, desk: &mut Desk) {
+    let picked = |p: Option<Pick>| match p {
+        Some(Pick::Webhook(id)) => Some((id, Name::from(""))),
+        Some(Pick::Send(id, ep)) => Some((id, ep)),
+        Some(Pick::Route(ep)) => Some((0, ep)),
+        _ => None,
+    };
+    loop {
+        l.refresh();
+        let alone = |id: Option<u64>| id.map(|id| (id, Name::from("")));
+        assert_eq!(picked(l.out_of_time()), alone(late(l)), "out of time");
+        if late(l).is_none() {
+            assert_eq!(picked(l.spent()), alone(spent(l)), "spent");
+        }
+        if late(l).is_none() && spent(l).is_none() {
+            assert_eq!(picked(l.trial_due()), trial(l), "trial");
+            assert_eq!(picked(l.sendable()), sendable(l), "send");
+            assert_eq!(picked(l.spare_links()), spare(l).map(|ep| (0, ep)), "links");
+            let (indexed, scanned) = (l.next_at(), next(l));
+            assert!(indexed == scanned, "next wake {indexed}, by scan {scanned}");
+        }
+        let found = RULES.iter().find_map(|r| (r.when)(l).map(|p| (r, p)));
+        match found {
+            Some((rule, pick)) => (rule.then)(l, pick, desk),
+            None => break,
+        }
+    }
+    if l.busy < l.slots {
+        l.gates.seen();
+    }
+}
+
+fn open(ask: bool, slots: usize) -> Logic {
+    let mut l = Logic::new(0.0, 5, 1, 3);
+    let types = [
+        ("idem", Effect::Idempotent, false, false, true),
+        ("token", Effect::Tokened, false, false, false),
+        ("once", Effect::AtMostOnce, false, false, true),
+        ("line", Effect::Tokened, true, true, true),
+    ];
+    for (name, effect, by_all, ordered, halves) in types {
+        l.set_event_type(name, 1.0, 6.0, 1.0, 0.3, halves);
+        l.set_effect(name, effect, 4.0, by_all, ordered);
+    }
+    l.kinds.insert("plain".into(), (1, false));
+    l.kinds.insert("apart".into(), (3, true));
+    l.customers.insert("c".into(), (2.0, 0.5, VecDeque::new()));
+    (l.slots, l.holds, l.attempts, l.may_call_off) = (slots, 25, 5, true);
+    (l.cold, l.idle_for, l.key_rest, l.ask, l.within) = ((0.3, 4.0, 1.5), 2.0, 0.4, ask, 5.0);
+    l
+}
+
+fn list(l: &mut Logic, mode: ListMode, gone: usize) {
+    let names: Vec<String> = (0..10).map(|i| format!("e{i}")).collect();
+    let entry = |i: usize| Entry {
+        ep: &names[i],
+        zone: ["x", "y"][i % 2],
+        kind: if i < 6 { "plain" } else { "apart" },
+        dest: [1, 1, 1, 2, 2, 3, 4, 4, 5, 5][i],
+        ready: i != gone,
+        rate: [6.0, 20.0, 0.0][i % 3],
+    };
+    let entries: Vec<Entry> =
+        (0..10).filter(|i| mode != ListMode::Changes || *i == gone).map(entry).collect();
+    l.list(l.now, mode, &entries);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn indexes_find_what_scans_find(
+        ask in any::<bool>(), slots in 2_usize..12,
+        steps in prop::collection::vec((0_u8..12, 0_usize..1_000, 0.0..0.6_f64), 20..220),
+    ) {
+        let (mut l, mut desk, mut id) = (open(ask, slots), Desk::default(), 0);
+        list(&mut l, ListMode::Remembered, 99);
+        settle(&mut l, &mut desk);
+        for (what, n, after) in steps {
+            let now = l.now + if n % 3 == 0 { 0.0 } else { after };
+            l.now = now;
+            match what {
+                0..=3 => {
+                    id += 1;
+                    let evt = ["idem", "token", "once", "line", "unknown"][n % 5];
+                    let key = (n % 5 == 3).then_some(["a", "b"][n % 2]);
+                    let left = if n % 11 == 0 { 0.3 } else { 6.0 };
+                    l.webhook(now, id, evt, 1 + n as u64 % 6, key, (n % 7 == 0).then_some("c"), left);
+                    if n % 13 == 0 {
+                        l.resumed(id, n as u32 % 5, (n % 2 == 0).then_some(("x", now - 1.0)));
+                    }
+                }
+                4..=8 if !desk.out.is_empty() => {
+                    let (webhook, ep, _) = desk.out.remove(n % desk.out.len());
+                    let outcome = match n % 9 {
+                        0 => Outcome::Failed,
+                        1 => Outcome::Full(0.0),
+                        2 => Outcome::Full(0.7),
+                        3 => Outcome::TimedOut,
+                        4 => Outcome::ConnectFailed,
+                        5 => Outcome::Reset,
+                        6 => Outcome::Moot(true),
+                        _ => Outcome::Delivered,
+                    };
+                    let report = (n % 4 == 0).then_some((0.4, 8.0));
+                    l.outcome(now, webhook, &ep, outcome, 0.1, outcome == Outcome::Delivered, report);
+                }
+                9 => list(&mut l, [ListMode::Changes, ListMode::Whole, ListMode::Refused][n % 3], n % 10),
+                10 => l.withdrawn(now, 1 + n as u64 % id.max(1)),
+                _ => l.woken(now, 0),
+            }
+            settle(&mut l, &mut desk);
+        }
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,101 @@
+//! What the policy knows, as plain records: no decisions and no figures here.
+
+use crate::Effect;
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+
+pub(crate) type Name = Rc<str>;
+
+#[derive(Default)]
+pub(crate) struct EventType {
+    pub target: f64,
+    pub ttl: f64,
+    pub value: f64,
+    pub late: f64,
+    pub halves: bool,
+    pub effect: Effect,
+    pub known_for: f64,
+    pub by_all: bool,
+    pub ordered: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Webhook {
+    pub evt: Name,
+    pub dest: u64,
+    pub key: Option<Name>,
+    pub over: bool,
+    pub target_at: f64,
+    pub ttl_at: f64,
+    pub tries: u32,
+    pub out: Option<Name>,
+    /// First attempt that may have run: the zone of its endpoint and when it was sent.
+    pub ran: Option<(Name, f64)>,
+    pub not_before: f64,
+    pub ended: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Call {
+    pub at: f64,
+    pub trial: bool,
+    pub judged: bool,
+    pub called_off: bool,
+    pub idle: bool,
+    pub webhooks: BTreeSet<u64>,
+}
+
+pub(crate) struct Sample {
+    pub at: f64,
+    pub good: bool,
+    pub incident: bool,
+    pub took: f64,
+}
+
+#[derive(Default)]
+pub(crate) struct Route {
+    pub dest: u64,
+    pub kind: Name,
+    pub zone: Name,
+    pub batch: usize,
+    pub apart: bool,
+    pub rate: f64,
+    pub ready: bool,
+    pub window: f64,
+    pub calls: Vec<Call>,
+    pub samples: VecDeque<Sample>,
+    pub bad_row: u32,
+    /// When the first call of the row, or of the outage, went wrong.
+    pub bad_since: f64,
+    pub open: bool,
+    pub trial_at: f64,
+    pub cooling: f64,
+    /// Refused, while others of its destination could be asked: left to them until then.
+    pub aside: f64,
+    pub answered: f64,
+    pub used: f64,
+    /// When the last call went out, and how long after the one before.
+    pub call_at: f64,
+    pub call_gap: f64,
+    /// Connections are short: the window stays as it is until then.
+    pub short_until: f64,
+    /// Connections open at most, and when none could be had.
+    pub links: usize,
+    pub no_link_at: Option<f64>,
+    /// Back from an outage that this sender saw, or still in one: when it answered again, and when this
+    /// sender's part of the cold budget has room for the next call.
+    pub outage: bool,
+    pub back: Option<f64>,
+    pub cold_due: f64,
+}
+
+#[derive(Default)]
+pub(crate) struct Meter {
+    pub wait_until: f64,
+    pub sent: VecDeque<f64>,
+    pub share: f64,
+    pub full_row: u32,
+    pub full_since: f64,
+    pub limits: VecDeque<(f64, f64)>,
+    pub left: Option<(f64, f64)>,
+}
