--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -4,7 +4,7 @@
 use crate::clients::{HandIn, Reply};
 use crate::config::Config;
 use crate::endpoints::{self, Answer, Call, Ending, Load};
-use crate::journal::{End, Journal, Webhook};
+use crate::journal::{End, Journal, Tries, Webhook};
 use crate::list::{Health, News};
 use crate::notices::Notices;
 use scalebarrow::{Entry, ListMode, Outbox, Outcome, Sender};
@@ -67,6 +67,12 @@
     batch: usize,
 }
 
+/// The first attempt that may have run, for the log: where and how long ago.
+fn told(tries: &Tries, now: f64) -> String {
+    let first = tries.ran.as_ref().or(tries.out.as_ref());
+    first.map_or_else(|| "none".to_owned(), |(zone, at)| format!("{zone} {:.3} s ago", now - at))
+}
+
 pub struct Bridge {
     sender: Sender,
     asked: Asked,
@@ -112,6 +118,8 @@
             let ran = tries.ran.as_ref().or(tries.out.as_ref()).map(|(zone, at)| (zone.as_str(), *at));
             let (key, customer) = (w.order_key.as_deref(), w.customer.as_deref());
             let left = w.ends_at - now;
+            let (out, first) = (tries.out.is_some(), told(tries, now));
+            info!(code = "resumed", id = w.id, tries = tries.count, out, first, left, "back from the folder");
             let out = &mut bridge.asked;
             bridge.sender.resumed(
                 now,
@@ -159,6 +167,10 @@
 
     fn close(&mut self, number: u64, end: End) {
         let Some(webhook) = self.journal.open_webhook(number) else { return };
+        if end != End::Over {
+            let tries = self.journal.tries(number).map_or(0, |t| t.count);
+            info!(code = "given-up", id = webhook.id, dest = webhook.dest, ?end, tries, "a final answer is owed");
+        }
         self.numbers.remove(&webhook.id);
         if self.recent.insert(webhook.id.clone()) {
             self.recent_order.push_back(webhook.id.clone());
@@ -345,7 +357,12 @@
 
     /// A call is about to be written. False where that cannot be put down: then it must not go out.
     pub fn going_out(&mut self, now: f64, call: &Call) -> bool {
-        for (number, _) in &call.webhooks {
+        for (number, id) in &call.webhooks {
+            // A repeat is rare, and what on-call looks for first where an effect came twice.
+            if let Some(tries) = self.journal.tries(*number).filter(|t| t.ran.is_some() || t.out.is_some()) {
+                let (ep, zone, first) = (&call.ep, &call.zone, told(tries, now));
+                info!(code = "repeat", id, ep, zone, tries = tries.count, first, "again: an attempt may have run");
+            }
             if let Err(e) = self.journal.out(*number, &call.zone, now) {
                 error!(code = "journal-write", %e, "an attempt could not be written down and is not made");
                 return false;
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -285,6 +285,14 @@
         }
     }
 
+    /// What is known of the attempts for a webhook that has no final answer yet.
+    pub fn tries(&self, number: u64) -> Option<&Tries> {
+        match self.entries.get(&number) {
+            Some(Entry::Open { tries, .. }) => Some(tries),
+            _ => None,
+        }
+    }
+
     /// All that have no final answer, in the order they were taken on.
     pub fn open_webhooks(&self) -> impl Iterator<Item = (u64, &Webhook, &Tries)> {
         self.entries.iter().filter_map(|(number, entry)| match entry {
