--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -169,7 +169,14 @@
         let Some(webhook) = self.journal.open_webhook(number) else { return };
         if end != End::Over {
             let tries = self.journal.tries(number).map_or(0, |t| t.count);
-            info!(code = "given-up", id = webhook.id, dest = webhook.dest, ?end, tries, "a final answer is owed");
+            info!(
+                code = "given-up",
+                id = webhook.id,
+                dest = webhook.dest,
+                ?end,
+                tries,
+                "a final answer is owed"
+            );
         }
         self.numbers.remove(&webhook.id);
         if self.recent.insert(webhook.id.clone()) {
@@ -361,7 +368,15 @@
             // A repeat is rare, and what on-call looks for first where an effect came twice.
             if let Some(tries) = self.journal.tries(*number).filter(|t| t.ran.is_some() || t.out.is_some()) {
                 let (ep, zone, first) = (&call.ep, &call.zone, told(tries, now));
-                info!(code = "repeat", id, ep, zone, tries = tries.count, first, "again: an attempt may have run");
+                info!(
+                    code = "repeat",
+                    id,
+                    ep,
+                    zone,
+                    tries = tries.count,
+                    first,
+                    "again: an attempt may have run"
+                );
             }
             if let Err(e) = self.journal.out(*number, &call.zone, now) {
                 error!(code = "journal-write", %e, "an attempt could not be written down and is not made");
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -176,7 +176,10 @@
             Record::Out(number, trace) => {
                 if let Some(Entry::Open { tries, .. }) = self.entries.get_mut(&number) {
                     tries.count += 1;
-                    tries.out = Some(trace);
+                    // One attempt is out at a time. An earlier one without an outcome was out when a process ended, or
+                    // its outcome could not be written: it may have run, also when this one turns out not to have.
+                    let lost = tries.out.replace(trace);
+                    tries.ran = tries.ran.take().or(lost);
                 }
             }
             Record::Back(number, ran) => {
@@ -383,6 +386,32 @@
         assert!(!folder.join("journal.new").exists());
     }
 
+    #[test]
+    fn an_attempt_that_was_out_when_the_process_ended_may_have_run_whatever_follows() {
+        let folder = folder("twice-killed");
+        let (mut journal, _) = Journal::open(&folder, MOST).unwrap();
+        for (number, id) in [(1, "a"), (2, "b")] {
+            journal.take(number, webhook(id, 100)).unwrap();
+        }
+        journal.out(1, "z", 1.5).unwrap();
+        journal.out(2, "z", 1.5).unwrap();
+        // Killed; one goes out again and is turned away, the other again and again without an outcome.
+        let (mut journal, _) = Journal::open(&folder, MOST).unwrap();
+        journal.out(1, "z", 2.5).unwrap();
+        journal.back(1, false).unwrap();
+        journal.out(2, "y", 2.5).unwrap();
+        let (mut journal, _) = Journal::open(&folder, MOST).unwrap();
+        journal.out(2, "x", 3.5).unwrap();
+        journal.back(2, true).unwrap();
+        let after = [
+            r#"1 a 2 tries, out None, ran Some(("z", 1.5))"#,
+            r#"2 b 3 tries, out None, ran Some(("z", 1.5))"#,
+        ];
+        assert_eq!(state(&journal), after);
+        journal.compact().unwrap();
+        assert_eq!(state(&Journal::open(&folder, MOST).unwrap().0), after);
+    }
+
     #[test]
     fn a_torn_tail_is_dropped_wherever_it_is_cut() {
         let folder = folder("torn");
--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -319,6 +319,24 @@
     assert!(platform.notices.try_recv().is_err());
 }
 
+#[test]
+fn a_second_kill_does_not_forget_that_an_attempt_may_have_run() {
+    // Known by its own zone only, so that it must not be handed in again once it may have run.
+    let by_zone = (r#""group":"all""#, r#""group":"site""#);
+    let (endpoint, platform, mut program) = with_endpoint("plain", &[by_zone], |count, _| match count {
+        0 => Deed::Silence,
+        _ => Deed::Say(SHUT),
+    });
+    assert_eq!(program.hand_in("token", "t", 1500, b""), 202);
+    assert_eq!(endpoint.call().id(), "t");
+    program.restart();
+    // Turned away unseen, which says nothing of the first.
+    assert_eq!(endpoint.call().id(), "t");
+    program.logged(r#"code="repeat" id="t""#, 1);
+    program.restart();
+    assert_eq!(platform.notice(), "{\"id\":\"t\",\"state\":\"failed\"}\n");
+}
+
 #[test]
 fn what_was_held_and_what_was_owed_outlive_the_process() {
     let at = address();
