A call whose connection came up late goes out only if it still may

Ruled out: the module's waits (no call decided within one went out) and the margin of repeat_until (repeats at 11.199 s broke nothing). At fault: driver.rs, send_call: wrote a call as it was decided a second before.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -10,7 +10,7 @@
 use scalebarrow::{Entry, ListMode, Outbox, Outcome, Sender};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 /// Ids of webhooks that ended: those of some seconds at hundreds in a second.
 const MOST_RECENT: usize = 1024;
@@ -60,6 +60,16 @@
     }
 }
 
+/// Whether a call may be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GoAhead {
+    Yes,
+    /// Something came in between that stands against it.
+    NotNow,
+    /// It cannot be put down.
+    NoRoom,
+}
+
 /// Where an endpoint is reached, and what a call to it may hold.
 struct Place {
     dial: SocketAddr,
@@ -297,6 +307,13 @@
     pub fn ended(&mut self, now: f64, call: &Call, endings: &[Ending], answer: &Answer) {
         let report = answer.report.filter(|_| self.reports);
         if answer.wait > 0.0 {
+            debug!(
+                code = "wait",
+                ep = call.ep,
+                wait = answer.wait,
+                status = answer.status,
+                "a wait was told"
+            );
             self.sender.told_wait(now, &call.ep, answer.wait, &mut self.asked);
         }
         for ((number, _), ending) in call.webhooks.iter().zip(endings) {
@@ -311,6 +328,7 @@
             }
             let over = self.journal.open_webhook(*number).is_none();
             let took = now - call.decided_at;
+            debug!(code = "back", number, ep = call.ep, outcome = ?ending.outcome, took, over, "an attempt is back");
             let out = &mut self.asked;
             self.sender.outcome(now, *number, &call.ep, ending.outcome, took, over, report, out);
             self.settle();
@@ -362,9 +380,15 @@
         (calls, not_made)
     }
 
-    /// A call is about to be written. False where that cannot be put down: then it must not go out.
-    pub fn going_out(&mut self, now: f64, call: &Call) -> bool {
+    /// A call is about to be written, which may be long after it was decided: its connection had to come up.
+    pub fn going_out(&mut self, now: f64, call: &Call) -> GoAhead {
+        let held = now - call.decided_at;
+        if let Some((_, id)) = call.webhooks.iter().find(|w| !self.sender.may_go(now, w.0, &call.ep)) {
+            info!(code = "not-sent", id, ep = call.ep, held, "its connection came up too late");
+            return GoAhead::NotNow;
+        }
         for (number, id) in &call.webhooks {
+            debug!(code = "out", id, number, ep = call.ep, zone = call.zone, held, "an attempt goes out");
             // A repeat is rare, and what on-call looks for first where an effect came twice.
             if let Some(tries) = self.journal.tries(*number).filter(|t| t.ran.is_some() || t.out.is_some()) {
                 let (ep, zone, first) = (&call.ep, &call.zone, told(tries, now));
@@ -380,10 +404,10 @@
             }
             if let Err(e) = self.journal.out(*number, &call.zone, now) {
                 error!(code = "journal-write", %e, "an attempt could not be written down and is not made");
-                return false;
+                return GoAhead::NoRoom;
             }
         }
-        true
+        GoAhead::Yes
     }
 
     pub fn actions(&mut self) -> Vec<Action> {
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -1,7 +1,7 @@
 //! The event loop: sockets, timers, signals. It reads and writes for the peers' state machines and carries
 //! what they say to the bridge and back.
 
-use crate::bridge::{Action, Bridge};
+use crate::bridge::{Action, Bridge, GoAhead};
 use crate::clients::{self, Client, Reply, Stage};
 use crate::config::{Config, Limits};
 use crate::endpoints::{self, Answer, Call, Ending, Line, Pool};
@@ -803,10 +803,16 @@
         let Some(l) = self.links.get_mut(&link) else { return };
         let Peer::Endpoint(line) = &mut l.peer else { return };
         let Some(call) = &mut line.call else { return };
-        if !self.bridge.going_out(self.now, call) {
+        let go_ahead = self.bridge.going_out(self.now, call);
+        if go_ahead != GoAhead::Yes {
             let call = line.call.take();
+            for (number, _) in call.iter().flat_map(|c| &c.webhooks) {
+                self.calls.remove(number);
+            }
             self.failed.extend(call.map(|c| (c, Outcome::Moot(true))));
-            return self.close(link, Reason::NoRoom);
+            // The connection itself is as good as any.
+            let stays = go_ahead == GoAhead::NotNow;
+            return if stays { self.keep(link) } else { self.close(link, Reason::NoRoom) };
         }
         l.out = std::mem::take(&mut call.bytes);
         self.calls.extend(call.webhooks.iter().map(|w| (w.0, link)));
@@ -815,6 +821,14 @@
         self.endpoint_ready(link);
     }
 
+    /// Keeps a connection that carries nothing for the next call.
+    fn keep(&mut self, link: usize) {
+        let ep = line_ep(&self.links, link);
+        self.pool.put(&ep, link);
+        let (idle, _) = self.bridge.config().connection_times();
+        self.set_due(link, self.now + (idle - IDLE_MARGIN).max(idle / 2.0));
+    }
+
     fn endpoint_ready(&mut self, link: usize) {
         let mut end = if self.flush(link) { None } else { Some(Reason::PeerReset) };
         let mut found = None;
@@ -860,10 +874,7 @@
                 if !stays || garbage {
                     return self.close(link, if garbage { Reason::BadMessage } else { Reason::Answered });
                 }
-                let ep = line_ep(&self.links, link);
-                self.pool.put(&ep, link);
-                let (idle, _) = self.bridge.config().connection_times();
-                self.set_due(link, self.now + (idle - IDLE_MARGIN).max(idle / 2.0));
+                self.keep(link);
             }
             Some(Err(_)) => self.cut(link, Outcome::Reset, Reason::BadMessage),
             None => {
--- a/crates/sender/src/main.rs
+++ b/crates/sender/src/main.rs
@@ -11,8 +11,9 @@
 mod notices;
 
 use bpaf::Bpaf;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use tracing_subscriber::filter::LevelFilter;
 
 /// Delivers webhooks to outside destinations.
 #[derive(Debug, Clone, Bpaf)]
@@ -27,6 +28,9 @@
         /// The folder that outlives the process
         #[bpaf(long, env("LB_STATE"), argument("DIR"))]
         state: PathBuf,
+        /// The least that is logged: error, warn, info, or debug, which follows each attempt
+        #[bpaf(long, argument("LEVEL"), fallback(LevelFilter::INFO), display_fallback)]
+        log: LevelFilter,
     },
     /// Read the configuration and say whether it can be served
     #[bpaf(command)]
@@ -40,10 +44,15 @@
     Version,
 }
 
-fn main() -> ExitCode {
+/// Logs to standard error from here on, and reads the configuration.
+fn start_log(least: LevelFilter, path: &Path) -> Result<config::Config, String> {
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
     // A log that cannot be written must not end the process.
-    log.log_internal_errors(false).init();
+    log.with_max_level(least).log_internal_errors(false).init();
+    config::Config::read(path)
+}
+
+fn main() -> ExitCode {
     let command = match command().run_inner(bpaf::Args::current_args()) {
         Ok(command) => command,
         Err(failure) => {
@@ -59,7 +68,7 @@
         Command::Check { config } => {
             config::Config::read(&config).map(|c| println!("{}: can be served", c.name))
         }
-        Command::Serve { config: path, state } => match config::Config::read(&path) {
+        Command::Serve { config: path, state, log } => match start_log(log, &path) {
             Ok(config) => match driver::serve(config, &path, &state) {
                 Ok(()) => Ok(()),
                 Err(e) => {
--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -3,9 +3,10 @@
 mod helpers;
 
 use helpers::{Deed, Endpoint, LONG, OK, Platform, Program, address, hand_in, hear, host, list, run, say};
+use socket2::{Domain, Socket, Type};
 use std::collections::BTreeSet;
 use std::io::Write;
-use std::net::Shutdown;
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -158,6 +159,39 @@
     assert!(next.at - first.at >= Duration::from_millis(500), "{:?}", next.at - first.at);
 }
 
+#[test]
+fn a_call_whose_connection_comes_up_after_a_wait_was_told_stays_back() {
+    // Room for one connection that nobody has accepted: the next has to wait, and its first packet is sent again.
+    let at = address();
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&at.into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = TcpListener::from(socket);
+    let known = list(1, true, &[host("a", at, "plain", "SERVING")]);
+    let platform = Platform::start(known.clone(), 0);
+    let longer = (r#""connect-timeout-ms":1000.0"#, r#""connect-timeout-ms":9000.0"#);
+    let program = Program::start(&platform, &known, &[longer]);
+    let accept = || {
+        let stream = listener.accept().unwrap().0;
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream
+    };
+    assert_eq!(program.hand_in("idem", "x", 8000, b""), 202);
+    let mut first = accept();
+    assert_eq!(hear(&mut first).unwrap().id(), "x");
+    let _filler = TcpStream::connect(at).unwrap();
+    // Its connection is asked for in the turn of this answer, so before the next is read.
+    assert_eq!(program.hand_in("idem", "y", 8000, b""), 202);
+    let told = Instant::now();
+    first.write_all(b"HTTP/1.1 429 no\r\nRetry-After: 3.0\r\nContent-Length: 0\r\n\r\n").unwrap();
+    drop(accept());
+    // The connection is there and carries nothing until the wait is over.
+    program.logged(r#"code="not-sent" id="y""#, 1);
+    let mut second = accept();
+    let heard = [hear(&mut second), hear(&mut first)].map(|h| h.unwrap());
+    assert!(heard.iter().all(|h| h.at - told > Duration::from_secs(3)), "within the wait");
+}
+
 #[test]
 fn clients_that_stop_in_the_middle_do_not_keep_others_out() {
     let (endpoint, _platform, program) =
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -189,6 +189,12 @@
         self.0.settle(out);
     }
 
+    /// Whether an attempt that was asked for may go out now that its connection is up. Where not, it ends as
+    /// [`Outcome::Moot`].
+    pub fn may_go(&self, now: f64, id: u64, ep: &str) -> bool {
+        self.0.may_go(now, id, ep)
+    }
+
     /// A delivery attempt ended. `ended` is set where the webhook has its final answer; `report` is the share
     /// of the destination's limit that is left and the limit in calls a second, where it told them.
     #[allow(clippy::too_many_arguments)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -409,6 +409,16 @@
         }
     }
 
+    /// Whether an attempt may go out although its connection took its time. What came since and would keep it
+    /// from being made now keeps it back: a wait, a drain, the end of the time for a repeat, a withdrawal.
+    pub fn may_go(&self, now: f64, id: u64, ep: &str) -> bool {
+        let (Some(w), Some((ep, r))) = (self.webhooks.get(&id), self.routes.get_key_value(ep)) else {
+            return false;
+        };
+        let waits = self.meters.get(&Self::scope(ep, r)).is_some_and(|m| now < m.wait_until);
+        r.ready && !w.ended && !waits && now < self.repeat_until(w)
+    }
+
     /// When it is a webhook's turn among those of its key, as far as time alone decides it.
     fn turn_at(&self, id: u64, w: &Webhook) -> f64 {
         let Some(k) = &w.key else { return 0.0 };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -176,6 +176,60 @@
     ]);
 }
 
+#[test]
+fn what_came_up_late_goes_only_if_it_still_may() {
+    check(&[
+        (
+            "nothing came in between",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 idem\n1 may 1 a",
+            &[Has(&["1.0 may 1 true"])],
+        ),
+        (
+            "a wait was told",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 idem\n0 hand 2 idem\n0.5 end 2 a full 3\n1 may 1 a",
+            &[Has(&["1.0 may 1 false"])],
+        ),
+        (
+            "it is over",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 idem\n0 hand 2 idem\n0.5 end 2 a full 0.4\n1 may 1 a",
+            &[Has(&["1.0 may 1 true"])],
+        ),
+        (
+            "a wait at an endpoint that is not apart",
+            ONE,
+            "0 list a:z:plain:50 b:z:plain:50\n0 hand 1 idem\n0 hand 2 idem\n0.5 end 2 a full 3\n1 may 1 b",
+            &[Has(&["1.0 may 1 false"])],
+        ),
+        (
+            "it drains",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 idem\n0.5 changes a:z:plain:50:gone\n1 may 1 a",
+            &[Has(&["1.0 may 1 false"])],
+        ),
+        (
+            "its client withdrew",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 idem\n0.5 gone 1\n1 may 1 a",
+            &[Has(&["1.0 may 1 false"])],
+        ),
+        (
+            "a repeat is still known",
+            ONE,
+            "0 list a:z:plain:50\n0 resume 1 token 1 z:-3\n0.8 may 1 a",
+            &[Has(&["0.8 may 1 true"])],
+        ),
+        (
+            "a repeat is known no more",
+            ONE,
+            "0 list a:z:plain:50\n0 resume 1 token 1 z:-3\n1 may 1 a",
+            &[Has(&["1.0 may 1 false"])],
+        ),
+    ]);
+}
+
 #[test]
 fn order_by_key() {
     check(&[
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -64,7 +64,7 @@
 }
 
 /// Steps, one a line: `TIME list EP:ZONE:KIND:RATE[:gone] ..`, `TIME changes ..`, `TIME refused`,
-/// `TIME hand ID EVT [KEY]`, `TIME end ID EP OUTCOME [WAIT [LEFT:LIMIT]]`, `TIME gone ID`, `TIME pass`,
+/// `TIME hand ID EVT [KEY]`, `TIME end ID EP OUTCOME [WAIT [LEFT:LIMIT]]`, `TIME gone ID`, `TIME pass`, `TIME may ID EP`,
 /// `TIME resume ID EVT TRIES [ZONE:TIME [KEY]]` (`-` for no zone), `TIME closing BY`. All for destination 1.
 /// Wake-ups come when they are due. Returns the actions, each with its time.
 pub fn play(slots: usize, holds: usize, senders: u64, ask: bool, script: &str) -> Vec<String> {
@@ -115,6 +115,7 @@
                 s.outcome(t, id, words[3], outcome, took, words[4] == "ok", report, &mut desk);
             }
             "gone" => s.withdrawn(t, id, &mut desk),
+            "may" => desk.acts.push(format!("{t:.1} may {id} {}", s.may_go(t, id, words[3]))),
             "resume" => {
                 let ran = words.get(5).and_then(|w| w.split_once(':'));
                 let ran = ran.map(|(zone, at)| (zone, at.parse().unwrap()));
