--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -179,14 +179,8 @@
         let Some(webhook) = self.journal.open_webhook(number) else { return };
         if end != End::Over {
             let tries = self.journal.tries(number).map_or(0, |t| t.count);
-            info!(
-                code = "given-up",
-                id = webhook.id,
-                dest = webhook.dest,
-                ?end,
-                tries,
-                "a final answer is owed"
-            );
+            let (id, dest, ends_at) = (&webhook.id, webhook.dest, webhook.ends_at);
+            info!(code = "given-up", id, dest, ?end, tries, ends_at, "a final answer is owed");
         }
         self.numbers.remove(&webhook.id);
         if self.recent.insert(webhook.id.clone()) {
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -258,6 +258,11 @@
         sender.set_key_rest(seconds(s.rules.key_rest_ms, 0.0));
     }
 
+    /// Calls out at once and webhooks held, at most, and the number of senders: for the log.
+    pub fn size(&self) -> (usize, usize, u64) {
+        (self.settings.family_info.slots, self.settings.caps.open_cap, self.settings.instances)
+    }
+
     /// The list of endpoints comes only when it is asked for.
     pub fn asks(&self) -> bool {
         self.settings.membership_mode == Some(Membership::Ask)
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -239,7 +239,7 @@
     let (listen, discovery) = (config.listen, config.discovery);
     let (most_clients, most_lines) = most_links(&config.limits);
     let most_buffered = most_buffered(&config.limits);
-    let name = config.name.clone();
+    let (name, (slots, holds, senders)) = (config.name.clone(), config.size());
     let list_wanted = !config.asks();
     let bridge = Bridge::open(config, journal, now);
     // All that was taken on is back in the module: only now can a client reach this sender.
@@ -249,7 +249,7 @@
     poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
     poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
     poll.registry().register(&mut hang_ups, HANG_UPS, Interest::READABLE)?;
-    info!(name, %listen, "serving");
+    info!(name, %listen, slots, holds, senders, "serving");
     let mut driver = Driver {
         poll,
         listener,
