First share of a limit by the shortest TTL: 276 calls a second jammed limits of 70

At fault: logic.rs, send: a call a second from each sender wherever the limit is below twice their number; refused calls use up limits. Test: a case in many_senders, fails on the module before (done once).

--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -405,6 +405,13 @@
             "0 list a:z:plain:10\n0 hand 1 idem\n0.1 end 1 a ok\n1.2 hand 2 idem",
             &[Has(&["1.2 send 2 a"])],
         ),
+        (
+            // 276 calls a second for a limit of 70: refused calls used it up for seconds, and nobody got through.
+            "not where an even part comes round well within a TTL",
+            (64, 50, 300, false),
+            "0 list a:z:plain:75\n0 hand 1 idem\n0.1 end 1 a ok\n0.2 hand 2 idem\n1.9 pass\n3 pass",
+            &[Sends(0.1, 1.9, 0..=0), Sends(1.9, 2.1, 1..=1)],
+        ),
         (
             // Refused calls use up the limit: a call a second from each of 50 kept half of it from being used.
             "refusals bring that down to an even part and less",
