--- a/src/logic.rs
+++ b/src/logic.rs
@@ -981,9 +981,9 @@
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
         let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0, 1.0).1;
-        // An even part, 1.3 of it where routes share a limit; up to a call a second where an even part comes round
-        // once in a TTL or less: chance decides then who has something to send, and an even part holds it up.
-        // Where it comes round more often, all that calls a second let through would jam the limit.
+        // An even part, 1.3 of it where routes share a limit; up to a call a second where an even part comes
+        // round once in a TTL or less: chance decides then who has something to send, and an even part holds
+        // it up. Where it comes round more often, a call a second from each would jam the limit.
         let ttl = self.types.values().map(|t| t.ttl).fold(f64::INFINITY, f64::min);
         let rate = r.rate.max(0.001);
         let thin = (senders / (rate * ttl)).min(1.0);
