--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -7,7 +7,7 @@
 use crate::endpoints::{self, Answer, Call, Ending, Line, Pool};
 use crate::http::{Decoder, Fault};
 use crate::journal::Journal;
-use crate::list::List;
+use crate::list::{List, NoList};
 use crate::notices;
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Token};
@@ -74,6 +74,7 @@
     NotUp,
     PeerClosed,
     PeerReset,
+    Refused,
     Silent,
     Stale,
     Unasked,
@@ -92,6 +93,7 @@
             Reason::NotUp => "not-up",
             Reason::PeerClosed => "peer-closed",
             Reason::PeerReset => "peer-reset",
+            Reason::Refused => "refused",
             Reason::Silent => "silent",
             Reason::Stale => "stale",
             Reason::Unasked => "unasked",
@@ -236,7 +238,7 @@
             dropped, "bytes of an unfinished record at the journal's end are dropped"
         );
     }
-    let (listen, discovery) = (config.listen, config.discovery);
+    let (listen, discovery, list) = (config.listen, config.discovery, List::known(config.known.seq));
     let (most_clients, most_lines) = most_links(&config.limits);
     let most_buffered = most_buffered(&config.limits);
     let (name, (slots, holds, senders)) = (config.name.clone(), config.size());
@@ -271,7 +273,7 @@
         calls: BTreeMap::new(),
         failed: Vec::new(),
         discovery,
-        list: List::new(),
+        list,
         list_link: None,
         list_wanted,
         notice_link: None,
@@ -952,7 +954,8 @@
                         return self.list_broke(Reason::PeerReset);
                     }
                 }
-                Err(_) => return self.list_broke(Reason::BadMessage),
+                Err(NoList::Refused) => return self.list_broke(Reason::Refused),
+                Err(NoList::Garbage) => return self.list_broke(Reason::BadMessage),
             }
         }
         self.again.insert(link);
@@ -962,7 +965,9 @@
         if let Some(link) = self.list_link {
             self.close(link, reason);
         }
-        if self.list.broken() {
+        if reason == Reason::Refused {
+            self.list.refused();
+        } else if self.list.broken() {
             return self.open_list();
         }
         self.list_wanted = false;
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -1,6 +1,6 @@
 //! The platform's list of endpoints: how it is asked for, and what it says.
 
-use crate::http::{Decoder, Fault, Status};
+use crate::http::{Decoder, Status};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -43,7 +43,16 @@
     pub hosts: Vec<Host>,
 }
 
-/// Which call is due or out: the whole list first, then watches from the version it had.
+/// Why a call for the list brought none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoList {
+    /// The platform has too much to do: nothing is wrong with what is known.
+    Refused,
+    /// What came cannot be read, or does not follow on what is known.
+    Garbage,
+}
+
+/// Which call is due or out: watches from the version that is known, the whole list where none is.
 pub struct List {
     decoder: Decoder<Status>,
     seq: Option<u64>,
@@ -52,8 +61,10 @@
 }
 
 impl List {
-    pub fn new() -> Self {
-        List { decoder: Decoder::answers(MOST_LIST), seq: None, renewed: false }
+    /// The list is known in this version. To ask for changes alone costs the platform little; whole lists for all
+    /// senders that start together keep it busy for so long that all of them are refused.
+    pub fn known(seq: u64) -> Self {
+        List { decoder: Decoder::answers(MOST_LIST), seq: Some(seq), renewed: false }
     }
 
     /// The call to make now, and how long its answer may take.
@@ -65,21 +76,34 @@
         (format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes(), patience)
     }
 
-    /// What an answer tells, and whether the connection serves further calls. Garbage is a fault.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(News, bool)>, Fault> {
+    /// What an answer tells, and whether the connection serves further calls.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(News, bool)>, NoList> {
         self.decoder.feed(bytes);
-        let Some(answer) = self.decoder.message()? else { return Ok(None) };
-        if answer.head.0 != 200 {
-            return Err(Fault::Malformed);
+        let message = self.decoder.message().map_err(|_| NoList::Garbage)?;
+        let Some(answer) = message else { return Ok(None) };
+        match answer.head.0 {
+            200 => {}
+            429 | 503 => return Err(NoList::Refused),
+            _ => return Err(NoList::Garbage),
+        }
+        let news: News = serde_json::from_slice(&answer.body).map_err(|_| NoList::Garbage)?;
+        // Against a platform that counts anew, as after a loss of its own: changes would pass by unseen.
+        if !news.whole && self.seq.is_some_and(|known| news.seq < known) {
+            return Err(NoList::Garbage);
         }
-        let news: News = serde_json::from_slice(&answer.body).map_err(|_| Fault::Malformed)?;
         (self.seq, self.renewed) = (Some(news.seq), false);
         Ok(Some((news, answer.keep && self.decoder.is_clear())))
     }
 
     /// The platform is reached at another address: the whole list is asked for there.
     pub fn moved(&mut self) {
-        *self = List::new();
+        (self.decoder, self.seq, self.renewed) = (Decoder::answers(MOST_LIST), None, false);
+    }
+
+    /// The platform refused, and the connection is gone. What is known stays known: the next call asks for what
+    /// changed since, and not before it is due. At once, and for the whole list, would keep the platform busy.
+    pub fn refused(&mut self) {
+        (self.decoder, self.renewed) = (Decoder::answers(MOST_LIST), false);
     }
 
     /// The connection is gone. True where the watch goes on over a new one at once.
@@ -94,3 +118,67 @@
         goes_on
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn answer(status: u16, body: &str) -> Vec<u8> {
+        format!("HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    }
+
+    fn news(seq: u64, whole: bool) -> Vec<u8> {
+        answer(200, &format!("{{\"seq\":{seq},\"whole\":{whole},\"hosts\":[]}}"))
+    }
+
+    /// The version from which the next call asks for changes; none where it asks for the whole list.
+    fn asks_since(list: &List) -> Option<u64> {
+        let (call, _) = list.call(&([127, 0, 0, 1], 80).into());
+        let call = String::from_utf8(call).unwrap();
+        let since = call.split_once("since=").map(|(_, rest)| rest.split_once('&').unwrap().0);
+        since.map(|s| s.parse().unwrap())
+    }
+
+    /// 100 senders that start together and ask for whole lists, each refusal answered with another such call at once,
+    /// kept the list service refusing for as long as they lived.
+    #[test]
+    fn what_is_asked_for_next() {
+        let cases = [
+            ("at the start, what changed since the version already known", vec![], None, Some(7)),
+            ("after an answer, from its version", vec![news(9, false)], Some(Ok(9)), Some(9)),
+            (
+                "after a refusal, from the version known, and not at once",
+                vec![answer(503, "")],
+                Some(Err(NoList::Refused)),
+                Some(7),
+            ),
+            (
+                "the same for the other refusal",
+                vec![news(8, true), answer(429, "later")],
+                Some(Err(NoList::Refused)),
+                Some(8),
+            ),
+            ("after garbage, the whole list", vec![answer(200, "{")], Some(Err(NoList::Garbage)), None),
+            ("the same after an error", vec![answer(500, "")], Some(Err(NoList::Garbage)), None),
+            ("and where versions are counted anew", vec![news(3, false)], Some(Err(NoList::Garbage)), None),
+            ("but a whole list may be of any version", vec![news(3, true)], Some(Ok(3)), Some(3)),
+        ];
+        for (name, answers, last, since) in cases {
+            let mut list = List::known(7);
+            let mut heard = None;
+            for a in answers {
+                heard = Some(list.feed(&a).map(|got| got.unwrap().0.seq));
+            }
+            assert_eq!(heard, last, "{name}");
+            match last {
+                Some(Err(NoList::Refused)) => list.refused(),
+                // The first time it goes on over a new connection, the second time nothing is taken for known.
+                Some(Err(NoList::Garbage)) => {
+                    assert_eq!((list.broken(), list.broken()), (true, false), "{name}")
+                }
+                _ => {}
+            }
+            assert_eq!(asks_since(&list), since, "{name}");
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -131,7 +131,7 @@
 
     /// Whether the list has to be asked for, and how long a sender may go without asking.
     pub fn set_list(&mut self, ask: bool, within: f64) {
-        (self.0.ask, self.0.within) = (ask, within);
+        self.0.set_list(ask, within);
     }
 
     /// How exact the list's rates are: the largest factor by which one may be too high.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,8 +68,8 @@
     key_rests: BTreeMap<Name, f64>,
     pub key_rest: f64,
     pub kinds: BTreeMap<Name, (usize, bool)>,
-    pub ask: bool,
-    pub within: f64,
+    ask: bool,
+    within: f64,
     watching: bool,
     ask_at: f64,
     refusals: u32,
@@ -132,6 +132,11 @@
         (evt.effect, evt.known_for, evt.by_all, evt.ordered) = (effect, known_for, by_all, ordered);
     }
 
+    pub fn set_list(&mut self, ask: bool, within: f64) {
+        (self.ask, self.within) = (ask, within);
+        self.ask_at += if ask { self.list_turn() } else { 0.0 };
+    }
+
     /// Marsaglia's multiply-with-carry, 32 bits; the multiplier is one that he lists.
     fn chance(&mut self) -> f64 {
         self.chance = 4_294_957_665 * (self.chance & 0xffff_ffff) + (self.chance >> 32);
@@ -233,8 +238,9 @@
                 // This does not say whether the watch stands: it is asked for again, less often each time.
                 self.watching = false;
                 self.refusals += 1;
-                let step = (0.4 * f64::from(1 << self.refusals.min(4))).min(self.within / 4.0);
-                self.ask_at = now + step * (0.5 + self.chance());
+                // After a failed call the allowed time is four times as long.
+                let step = (0.4 * f64::from(1 << self.refusals.min(6))).min(2.0 * self.within);
+                self.ask_at = now + step * (0.5 + self.chance()) + self.list_turn();
                 return;
             }
             ListMode::Remembered => {}
@@ -465,6 +471,12 @@
         (self.ask && !self.watching && self.now >= self.ask_at).then_some(Pick::Any)
     }
 
+    /// Seconds until a sender's turn to ask: many that start or are refused together would be refused again.
+    /// Twenty calls a second from all of them; half of the allowed time at most, as news waits meanwhile.
+    fn list_turn(&mut self) -> f64 {
+        self.chance() * (0.05 * (self.senders - 1.0)).min(self.within / 2.0)
+    }
+
     fn ask_list(&mut self, _: Pick, out: &mut dyn Outbox) {
         out.watch(true);
         // Asked again well inside the allowed time if no answer comes at all.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -288,6 +288,19 @@
             "0 refused\n1.4 pass\n1.5 refused\n4.5 pass\n4.6 list a:z:plain:50\n20 pass",
             &[Watches(2)],
         ),
+        (
+            // 100 senders that started together asked together, were refused together, and asked again together.
+            "of many senders each asks in a turn of its own, first and after a refusal",
+            (64, 50, 100, true),
+            "0 pass\n0.05 pass\n4.4 pass\n4.5 refused\n5.5 pass",
+            &[Not("0.0 watch"), Not("0.1 watch"), Watches(1)],
+        ),
+        (
+            "the same seen later: it asked within half of the allowed time each time",
+            (64, 50, 100, true),
+            "0 pass\n4.5 pass\n4.6 refused\n11 pass",
+            &[Watches(2)],
+        ),
     ]);
 }
 
