Lab: fleet counts calls, connections and list calls across senders' logs

The list's entries, connections and list calls are logged at debug, ends of connections name the endpoint; scalebarrow-lab fleet DIR adds them up by span and destination.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 mod compare;
 mod experiment;
+mod fleet;
 mod hunt;
 mod play;
 mod plot;
@@ -119,6 +120,16 @@
         #[bpaf(positional("DIR"))]
         after: PathBuf,
     },
+    /// Count across a fleet what its senders logged at debug: calls by outcome, connections, calls for the list
+    #[bpaf(command)]
+    Fleet {
+        /// Seconds that are counted together
+        #[bpaf(long, argument("SECONDS"), fallback(1.0), guard(|s| *s >= 0.001, "must be 0.001 at least"))]
+        span: f64,
+        /// The folder with one `*.log` for each sender
+        #[bpaf(positional("DIR"))]
+        dir: PathBuf,
+    },
     /// Draw the results in a folder again
     #[bpaf(command)]
     Plot {
@@ -310,6 +321,10 @@
             );
             Ok(report.broken.is_empty())
         }
+        Command::Fleet { span, dir } => {
+            print!("{}", fleet::count(&dir, span)?.table());
+            Ok(true)
+        }
         Command::Same { before, after } => {
             let (old, new) = (results::read(&before)?.0, results::read(&after)?.0);
             let (mut same, mut other, mut missing) = (0, 0, 0);
--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -259,7 +259,9 @@
             let Some(dest) = h.dest else { continue };
             let ready = h.health == Health::Serving;
             let (ep, zone, kind) = (h.host.as_str(), h.site.as_str(), h.kind.as_str());
-            entries.push(Entry { ep, zone, kind, dest, ready, rate: h.rate.unwrap_or(0.0) });
+            let rate = h.rate.unwrap_or(0.0);
+            debug!(code = "endpoint", ep, dest, kind, zone, rate, health = ?h.health, "an endpoint is listed");
+            entries.push(Entry { ep, zone, kind, dest, ready, rate });
             if h.health == Health::Deleted {
                 self.places.remove(&h.host);
                 self.asked.actions.push(Action::CloseIdle(h.host.clone()));
@@ -276,6 +278,7 @@
             (false, true) => ListMode::Whole,
             (false, false) => ListMode::Changes,
         };
+        debug!(code = "listed", seq = news.seq, ?mode, "the list is told");
         self.sender.list(now, mode, &entries, &mut self.asked);
         self.settle();
     }
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -19,7 +19,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
@@ -516,7 +516,8 @@
         let Some(mut l) = self.links.remove(&link) else { return };
         let _ = self.poll.registry().deregister(&mut l.stream);
         self.again.remove(&link);
-        info!(peer = l.peer.name(), code = reason.code(), addr = %l.addr, link, "connection ended");
+        let ep = if let Peer::Endpoint(line) = &l.peer { Some(line.ep.as_str()) } else { None };
+        info!(peer = l.peer.name(), code = reason.code(), ep, addr = %l.addr, link, "connection ended");
         match l.peer {
             Peer::Client(client) => {
                 self.clients -= 1;
@@ -788,6 +789,7 @@
         };
         let (_, connects_in) = self.bridge.config().connection_times();
         let by = call.stop_at.min(self.now + connects_in);
+        debug!(code = "connecting", ep = call.ep, "a connection is opened");
         match self.connect(dial, Peer::Endpoint(Line::new(call.ep.clone()))) {
             Ok(link) => {
                 self.calls.extend(call.webhooks.iter().map(|w| (w.0, link)));
