--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -926,6 +926,7 @@
 
     fn call_list(&mut self, link: usize) {
         let (call, patience) = self.list.call(&self.discovery);
+        debug!(code = "list-call", version = self.list.version(), "the list is asked for");
         if let Some(l) = self.links.get_mut(&link) {
             (l.out, l.sent) = (call, 0);
         }
