A route that started lately is cold, and told waits end in turns among many senders

Seen (herd+vast, debug logs): a new endpoint of a limit of 24 was told to 100 senders within half a second; 39 calls went to it at once, 38 were refused, 33 connections were reset together, and it took no connection for the remaining 19 s: it fell over. The list tells its start (born_ms, launched-ms), which was dropped. Also, join+vast: a limit jammed for 8 s with 17 to 35 refused calls a second and none delivered; the told wait is 0.85 s whenever it is told, so the limit stands at a floor from which it fills in 0.85 s of silence, and senders that came back at the end of their waits kept it there.

Lines at fault: bridge.rs and wirehost list entries without the start; logic.rs, pace_end: without a meter no cold pace; cooling_off: even parts were spared the turn after a told wait.

Tests in tests/decisions.rs fail with each of the three lines as it was.

--- a/crates/emulator/src/run.rs
+++ b/crates/emulator/src/run.rs
@@ -1198,6 +1198,7 @@
                 dest: u64::from(e.dest),
                 ready: l.ready,
                 rate: l.rate,
+                born: 0.0,
             }
         };
         let entries: Vec<Entry> = items.iter().map(entry).collect();
--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -260,8 +260,9 @@
             let ready = h.health == Health::Serving;
             let (ep, zone, kind) = (h.host.as_str(), h.site.as_str(), h.kind.as_str());
             let rate = h.rate.unwrap_or(0.0);
-            debug!(code = "endpoint", ep, dest, kind, zone, rate, health = ?h.health, "an endpoint is listed");
-            entries.push(Entry { ep, zone, kind, dest, ready, rate });
+            let born = h.born_ms.unwrap_or(0.0) / 1e3;
+            debug!(code = "endpoint", ep, dest, kind, zone, rate, born, health = ?h.health, "an endpoint is listed");
+            entries.push(Entry { ep, zone, kind, dest, ready, rate, born });
             if h.health == Health::Deleted {
                 self.places.remove(&h.host);
                 self.asked.actions.push(Action::CloseIdle(h.host.clone()));
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -33,6 +33,8 @@
     pub health: Health,
     #[serde(rename = "share")]
     pub rate: Option<f64>,
+    /// When it last started, in Unix time.
+    pub born_ms: Option<f64>,
 }
 
 /// A list, or what changed in it.
--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -564,7 +564,7 @@
 #[test]
 fn a_new_endpoint_at_an_old_address_inherits_nothing() {
     let (endpoint, platform, program) = with_endpoint("plain", &[], |_, _| Deed::Say(OK));
-    let closed = format!("peer=\"endpoint\" code=\"idle\" addr={}", endpoint.at);
+    let closed = format!("peer=\"endpoint\" code=\"idle\" ep=\"a\" addr={}", endpoint.at);
     // After a first call the module keeps no connection, since calls may be rare; after the second it does.
     assert_eq!(program.hand_in("idem", "w", 8000, b""), 202);
     assert_eq!(endpoint.call().id(), "w");
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -186,6 +186,7 @@
                             dest: whole("Ledger", row, "owner-no")?,
                             ready: text("Ledger", row, "state")? == "Ready",
                             rate: number_if("Ledger", row, "units", 0.0)?,
+                            born: number_if("Ledger", row, "launched-ms", 0.0)? / 1e3,
                         });
                     }
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,8 @@
     pub ready: bool,
     /// Calls a second that the destination (or the route) takes from all senders; 0 or less when unknown.
     pub rate: f64,
+    /// Clock time of its last start, where it is told; 0 or less: long ago.
+    pub born: f64,
 }
 
 /// The effects a sender may ask for.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -270,6 +270,12 @@
             if !r.ready {
                 self.ages.set(e.ep.into(), r.used + AGE);
             }
+            // One that started lately is as cold as one that returns: what all senders hold would push it over
+            // when they hear of it. Harm: one that is listed as new though it is warm.
+            if e.born > r.born.max(now - self.cold.1) {
+                (r.born, r.outage, r.back) = (e.born, true, Some(e.born));
+                self.come_in_turn(e.ep);
+            }
             self.held.changed.insert(e.dest);
         }
     }
@@ -471,8 +477,8 @@
         (self.ask && !self.watching && self.now >= self.ask_at).then_some(Pick::Any)
     }
 
-    /// Seconds until a sender's turn to ask: many that start or are refused together would be refused again.
-    /// Twenty calls a second from all of them; half of the allowed time at most, as news waits meanwhile.
+    /// A turn to ask: many that start or are refused together would be refused again. Twenty calls a second
+    /// from all of them; half of the allowed time at most, as news waits meanwhile.
     fn list_turn(&mut self) -> f64 {
         self.chance() * (0.05 * (self.senders - 1.0)).min(self.within / 2.0)
     }
@@ -546,13 +552,13 @@
 
     /// When the scope takes a call, or a further webhook in a call of this turn.
     fn pace_end(&self, ep: &Name, r: &Route, joins: bool) -> f64 {
-        let Some(m) = self.meters.get(&Self::scope(ep, r)) else { return 0.0 };
+        let cold = if r.outage { r.cold_due } else { 0.0 };
+        let Some(m) = self.meters.get(&Self::scope(ep, r)) else { return cold };
         if joins {
             return m.wait_until;
         }
         // Reports come every few tenths of a second; an empty allowance is believed for that long.
         let empty = m.left.map_or(0.0, |(left, at)| if left < 0.05 { at + 0.3 } else { 0.0 });
-        let cold = if r.outage { r.cold_due } else { 0.0 };
         let rate = self.rate(r, Some(m));
         let mine = (rate * m.share).max(1.0 / self.senders);
         // Whole calls in about a second, the shortest span that limits here come in.
@@ -562,13 +568,24 @@
         m.wait_until.max(empty).max(cold).max(spent)
     }
 
-    /// What part of all senders may want a route back from an outage, or still in one: no more than webhooks
-    /// that came since for `eps` endpoints; and the seconds until each has had a call within the cold budget.
-    fn turn(&self, r: &Route, m: Option<&Meter>, since: f64, eps: f64) -> (f64, f64) {
+    /// Seconds until each sender that may want a route back from an outage, or still in one, has had a call
+    /// within the cold budget: no more of them than webhooks that came since for `eps` endpoints.
+    fn turn(&self, r: &Route, m: Option<&Meter>, since: f64, eps: f64) -> f64 {
         // Twice what the rate lets expect: few calls from many senders bunch by chance.
         let came = 2.0 * r.rate * (self.now - since).max(0.0) / self.endpoints(r) + 1.0;
         let part = (came * eps / self.senders).min(1.0);
-        (part, part / self.cold_rate(r, m) / eps)
+        part / self.cold_rate(r, m) / eps
+    }
+
+    /// Each sender in its turn, as with trials: many may hold a webhook when a cold route takes calls again.
+    fn come_in_turn(&mut self, ep: &str) {
+        let (now, jitter) = (self.now, self.chance());
+        let Some((ep, r)) = self.routes.get_key_value(ep) else { return };
+        let turn = self.turn(r, self.meters.get(&Self::scope(ep, r)), now - 4.0, 1.0);
+        if r.outage && r.cold_due < now {
+            let (ep, due) = (ep.clone(), now + turn * (0.2 + 1.6 * jitter));
+            self.routes.entry(ep).and_modify(|r| r.cold_due = due);
+        }
     }
 
     /// Endpoints of one destination share its rate and capacity. Those that left have no part in it.
@@ -599,14 +616,11 @@
         // Nothing good is known, or refused twice: it may be shut, and a clump of two seconds may wait.
         let shut = m.full_row > 1 || !r.samples.iter().any(|s| s.good);
         let (since, m) = (m.full_since - wait - if shut { 2.0 } else { 0.0 }, self.meters.get(scope));
-        let (part, turn) = self.turn(r, m, since, self.endpoints(r));
+        let turn = self.turn(r, m, since, self.endpoints(r));
         let m = self.meters.entry(scope.clone()).or_default();
         // Without a told wait: 0.2 s, twice as long each time up to 1.6 s, since spans last a second or two.
         let own = 0.2 * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
-        // After a told wait, as long as a span at most, even parts keep senders apart that all have webhooks.
-        let even = wait <= 2.0 && part >= 1.0 && m.share * senders <= 1.5;
-        let after = wait + if even { 0.0 } else { turn * jitter };
-        let spread = if wait > 0.0 { after } else { own.max(turn * (0.2 + 1.6 * jitter)) };
+        let spread = if wait > 0.0 { wait + turn * jitter } else { own.max(turn * (0.2 + 1.6 * jitter)) };
         m.wait_until = m.wait_until.max(now + spread);
         // A fifth less of the limit, by half far above an even part, since refused calls use up most limits.
         m.share = (m.share * if m.share > 2.0 / senders { 0.5 } else { 0.8 }).max(0.5 / senders);
@@ -826,13 +840,8 @@
         let quiet = !r.samples.iter().any(|s| s.good && s.at >= sent_at);
         if scope.1.is_none() && self.all_failing(scope.0) {
             self.mark_outage(&scope, now - 2.0);
-            // Each sender in its turn, as with trials: many may hold a webhook at the moment that it returns.
-            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), now - 4.0, 1.0).1;
-            let due = now + turn * (0.2 + 1.6 * jitter);
-            for ep in self.dests.get(&scope.0).into_iter().flatten() {
-                if let Some(r) = self.routes.get_mut(ep).filter(|r| r.outage && r.cold_due < now) {
-                    r.cold_due = due;
-                }
+            for ep in self.dests.get(&scope.0).cloned().into_iter().flatten() {
+                self.come_in_turn(&ep);
             }
         }
         let Some(r) = self.routes.get_mut(&ep) else { return };
@@ -846,7 +855,7 @@
             r.cooling = if std::mem::replace(&mut r.open, true) { (r.cooling * 1.5).min(2.0) } else { 0.5 };
             let (cooling, bad_row, since) = (r.cooling, r.bad_row, r.bad_since);
             let row_at = r.samples.iter().rev().take_while(|s| !s.good).last().map_or(now, |s| s.at);
-            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0, 1.0).1;
+            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0, 1.0);
             if let Some(r) = self.routes.get_mut(&ep) {
                 r.trial_at = now + (cooling * (0.75 + 0.5 * jitter)).max(turn * (0.2 + 1.6 * jitter));
             }
@@ -992,7 +1001,7 @@
         let (now, senders) = (self.now, self.senders);
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
-        let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0, 1.0).1;
+        let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0, 1.0);
         // An even part, 1.3 of it where routes share a limit; up to a call a second where an even part comes
         // round once in a TTL or less: chance decides then who has something to send, and an even part holds
         // it up. Where it comes round more often, a call a second from each would jam the limit.
--- a/src/scan.rs
+++ b/src/scan.rs
@@ -175,6 +175,7 @@
 
 fn list(l: &mut Logic, mode: ListMode, gone: usize) {
     let names: Vec<String> = (0..10).map(|i| format!("e{i}")).collect();
+    let now = l.now;
     let entry = |i: usize| Entry {
         ep: &names[i],
         zone: ["x", "y"][i % 2],
@@ -182,6 +183,7 @@
         dest: [1, 1, 1, 2, 2, 3, 4, 4, 5, 5][i],
         ready: i != gone,
         rate: [6.0, 20.0, 0.0][i % 3],
+        born: [0.0, now - 1.0][i % 2],
     };
     let entries: Vec<Entry> =
         (0..10).filter(|i| mode != ListMode::Changes || *i == gone).map(entry).collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,6 +88,8 @@
     /// Back from an outage that this sender saw, or still in one: when it answered again, and when this
     /// sender's part of the cold budget has room for the next call.
     pub outage: bool,
+    /// Its last start, where the list tells one.
+    pub born: f64,
     pub back: Option<f64>,
     pub cold_due: f64,
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -432,6 +432,38 @@
             "0 list a:z:plain:30\n0 hand 1 idem\n0.1 end 1 a full\n1.9 pass\n2 end 1 a ok\n4 hand 2 idem\n4.1 end 2 a full\n5.9 pass\n6 end 2 a ok\n8 hand 3 idem\n8.1 end 3 a full\n10.5 pass\n10.6 end 3 a ok\n13 hand 4 idem\n13.1 end 4 a ok\n13.2 hand 5 idem\n14.4 pass",
             &[Has(&["13.0 send 4 a"]), Sends(13.1, 14.4, 0..=0)],
         ),
+        (
+            // Replaced in a release, it was told to all at once; what they held pushed it over within a second.
+            "an endpoint that started a moment ago is cold: each sender's first call to it has its turn",
+            (64, 50, 100, false),
+            "10 list a:z:plain:50:9\n10 hand 1 idem\n10.4 pass\n17 pass",
+            &[Sends(10.0, 10.4, 0..=0), Sends(10.4, 17.0, 1..=1)],
+        ),
+        (
+            "also where its limit is its own and nothing was ever sent there",
+            (64, 50, 100, false),
+            "10 list a:z:bulk:50:9\n10 hand 1 idem\n10.4 pass\n17 pass",
+            &[Sends(10.0, 10.4, 0..=0), Sends(10.4, 17.0, 1..=1)],
+        ),
+        (
+            "one that started longer ago than a return takes is warm",
+            (64, 50, 100, false),
+            "20 list a:z:plain:50:9\n20 hand 1 idem",
+            &[Has(&["20.0 send 1 a"])],
+        ),
+        (
+            "a sender alone waits for nothing",
+            ONE,
+            "10 list a:z:plain:50:9\n10 hand 1 idem\n10.1 pass",
+            &[Sends(10.0, 10.1, 1..=1)],
+        ),
+        (
+            // All came back at the end of their waits, 24 calls a second for a limit cut to less, and kept it jammed.
+            "a told wait ends in turns where all may hold webhooks",
+            (64, 50, 100, false),
+            "0 list a:z:bulk:50\n0 hand 1 idem\n0.1 end 1 a full 1.95\n2.65 pass\n9 pass",
+            &[Sends(0.1, 2.65, 0..=0), Sends(2.65, 9.0, 1..=1)],
+        ),
         (
             // 65 senders with one webhook each all went again a second after an error and pushed it over.
             "after an error where nothing good is known the next call waits for its turn among all",
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -63,7 +63,7 @@
     s
 }
 
-/// Steps, one a line: `TIME list EP:ZONE:KIND:RATE[:gone] ..`, `TIME changes ..`, `TIME refused`,
+/// Steps, one a line: `TIME list EP:ZONE:KIND:RATE[:gone or :BORN] ..`, `TIME changes ..`, `TIME refused`,
 /// `TIME hand ID EVT [KEY]`, `TIME end ID EP OUTCOME [WAIT [LEFT:LIMIT]]`, `TIME gone ID`, `TIME pass`, `TIME may ID EP`,
 /// `TIME resume ID EVT TRIES [ZONE:TIME [KEY]]` (`-` for no zone), `TIME closing BY`. All for destination 1.
 /// Wake-ups come when they are due. Returns the actions, each with its time.
@@ -91,8 +91,9 @@
                         zone: r[1],
                         kind: r[2],
                         dest: 1,
-                        ready: r.len() < 5,
+                        ready: r.get(4).is_none_or(|x| *x != "gone"),
                         rate: r[3].parse().unwrap(),
+                        born: r.get(4).and_then(|x| x.parse().ok()).unwrap_or(0.0),
                     })
                     .collect();
                 s.list(t, mode, &entries, &mut desk);
