A destination that answers again brings forward what waits for it, as its budget grows

Seen (zone+vast, debug logs): after a return of a destination with a listed rate of 67, 100 senders made 16 to 25 calls a second for ten seconds, while up to 48 webhooks a second were given up unsent. Followed senders n46, n19, n88: one call when they saw the return, and the next ten seconds later; the circuits of its other endpoints kept trials set while nobody knew.

Lines at fault: logic.rs, turn(): the turn was reckoned at the budget of its first instant, a third of what it grows to; end_call(): what was put off during the outage stayed put off after the first good answer.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -122,8 +122,8 @@
 
     /// Calls out at once, webhooks held (sent or not), and delivery attempts for one webhook, at most.
     pub fn set_limits(&mut self, slots: usize, holds: usize, attempts: u32, may_call_off: bool) {
-        (self.0.slots, self.0.holds) = (slots, holds);
-        (self.0.attempts, self.0.may_call_off) = (attempts, may_call_off);
+        (self.0.caps.slots, self.0.caps.holds) = (slots, holds);
+        (self.0.caps.attempts, self.0.caps.may_call_off) = (attempts, may_call_off);
     }
 
     /// The longest time to come back that clients heed; 0 where none may be named.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,20 +11,11 @@
 //! 5. queue: who gets scarce slots and room; connections that are scarce or go stale
 //! 6. attempt time-outs and further attempts
 
-use crate::index::{Facts, Gates, Held, Kinds, Timers};
-use crate::state::{Call, EventType, Meter, Name, Route, Sample, Webhook};
+use crate::index::{Facts, Gates, Held, Kinds};
+use crate::state::*;
 use crate::{Effect, Entry, ListMode, Outbox, Outcome};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// What shares a limit, waits and outages: a destination, or one route of it where routes are apart.
-type Scope = (u64, Option<Name>);
-/// What decides how held webhooks of a destination are treated alike: event type, whether beyond their
-/// customer's share, and the zone that alone knows them for a repeat.
-type Group = (Name, bool, Option<Name>);
-
-/// Late or not, the value with its sign turned, the target time: least first.
-type Rank = (u8, f64, f64);
-
 /// The design's minute: a route that was unused for so long is as if it were new.
 const AGE: f64 = 60.0;
 
@@ -68,11 +59,7 @@
     key_rests: BTreeMap<Name, f64>,
     pub key_rest: f64,
     pub kinds: BTreeMap<Name, (usize, bool)>,
-    ask: bool,
-    within: f64,
-    watching: bool,
-    ask_at: f64,
-    refusals: u32,
+    pub watch: Watch,
     routes: BTreeMap<Name, Route>,
     /// Routes with calls out, and how many are by destination.
     active: BTreeSet<Name>,
@@ -89,13 +76,10 @@
     held: Held<Group>,
     /// Destinations with webhooks to send and no calls out.
     gates: Gates,
-    pub slots: usize,
+    pub caps: Caps,
     busy: usize,
-    pub holds: usize,
     pub come_back: f64,
     pub customers: BTreeMap<Name, (f64, f64, VecDeque<f64>)>,
-    pub attempts: u32,
-    pub may_call_off: bool,
     retries: VecDeque<bool>,
     /// The last calls of all routes: lost between good answers, or answered.
     lost: VecDeque<bool>,
@@ -103,22 +87,21 @@
     stale: VecDeque<(f64, bool, bool)>,
     current: BTreeMap<u64, Name>,
     wake_at: Option<f64>,
-    next_age: f64,
-    /// When routes have been unused for the time in which they age, and those that have.
-    ages: Timers<Name>,
-    aging: BTreeSet<Name>,
+    aging: Ages,
     pub closes_at: f64,
 }
 
 impl Logic {
     pub fn new(now: f64, seed: u64, number: u64, senders: u64) -> Self {
         let senders = senders.max(1) as f64;
-        let mut logic = Logic { now, number, senders, ask_at: now, next_age: now, ..Logic::default() };
+        let mut logic = Logic { now, number, senders, ..Logic::default() };
         // A multiply-with-carry state must not be 0 nor all ones; this keeps it inside.
         logic.chance = (seed & 0xffff_ffff) | (1 << 32);
-        (logic.within, logic.idle_for, logic.rate_error) = (f64::INFINITY, f64::INFINITY, 1.0);
+        (logic.watch.within, logic.idle_for, logic.rate_error) = (f64::INFINITY, f64::INFINITY, 1.0);
+        (logic.watch.ask_at, logic.aging.next) = (now, now);
         logic.closes_at = f64::INFINITY;
-        (logic.cold, logic.slots, logic.holds, logic.attempts) = ((1.0, 0.0, f64::INFINITY), 1, 1, 1);
+        logic.cold = (1.0, 0.0, f64::INFINITY);
+        (logic.caps.slots, logic.caps.holds, logic.caps.attempts) = (1, 1, 1);
         logic
     }
 
@@ -133,8 +116,8 @@
     }
 
     pub fn set_list(&mut self, ask: bool, within: f64) {
-        (self.ask, self.within) = (ask, within);
-        self.ask_at += if ask { self.list_turn() } else { 0.0 };
+        (self.watch.ask, self.watch.within) = (ask, within);
+        self.watch.ask_at += if ask { self.list_turn() } else { 0.0 };
     }
 
     /// Marsaglia's multiply-with-carry, 32 bits; the multiplier is one that he lists.
@@ -150,7 +133,7 @@
             self.refresh();
             let found = RULES.iter().find_map(|r| (r.when)(self).map(|p| (r, p)));
             let Some((rule, pick)) = found else {
-                if self.busy < self.slots {
+                if self.busy < self.caps.slots {
                     self.gates.seen();
                 }
                 return;
@@ -175,10 +158,10 @@
         while let Some(dest) = self.held.changed.pop_first() {
             self.look(dest);
         }
-        while now >= self.next_age
-            && let Some(ep) = self.ages.due(now)
+        while now >= self.aging.next
+            && let Some(ep) = self.aging.timers.due(now)
         {
-            self.aging.insert(ep);
+            self.aging.due.insert(ep);
         }
     }
 
@@ -225,7 +208,7 @@
     fn movable(&self) -> BTreeSet<u64> {
         let mut all = self.active();
         // Without a free slot only calls of this turn take more, and those are out.
-        all.extend(self.gates.open().iter().filter(|_| self.busy < self.slots));
+        all.extend(self.gates.open().iter().filter(|_| self.busy < self.caps.slots));
         all
     }
 
@@ -236,20 +219,22 @@
         match mode {
             ListMode::Refused => {
                 // This does not say whether the watch stands: it is asked for again, less often each time.
-                self.watching = false;
-                self.refusals += 1;
+                self.watch.watching = false;
+                self.watch.refusals += 1;
                 // After a failed call the allowed time is four times as long.
-                let step = (0.4 * f64::from(1 << self.refusals.min(6))).min(2.0 * self.within);
-                self.ask_at = now + step * (0.5 + self.chance()) + self.list_turn();
+                let step = (0.4 * f64::from(1 << self.watch.refusals.min(6))).min(2.0 * self.watch.within);
+                self.watch.ask_at = now + step * (0.5 + self.chance()) + self.list_turn();
                 return;
             }
             ListMode::Remembered => {}
-            ListMode::Changes | ListMode::Whole => (self.watching, self.refusals) = (self.ask, 0),
+            ListMode::Changes | ListMode::Whole => {
+                (self.watch.watching, self.watch.refusals) = (self.watch.ask, 0)
+            }
         }
         if mode != ListMode::Changes {
             for (ep, r) in &mut self.routes {
                 r.ready = false;
-                self.ages.set(ep.clone(), r.used + AGE);
+                self.aging.timers.set(ep.clone(), r.used + AGE);
             }
             self.held.changed.extend(self.held.ready.keys());
         }
@@ -268,13 +253,13 @@
             let Some(r) = self.routes.get_mut(e.ep) else { continue };
             (r.ready, r.rate) = (e.ready, if e.rate.is_finite() { e.rate.max(0.0) } else { 0.0 });
             if !r.ready {
-                self.ages.set(e.ep.into(), r.used + AGE);
+                self.aging.timers.set(e.ep.into(), r.used + AGE);
             }
-            // One that started lately is as cold as one that returns: what all senders hold would push it over
-            // when they hear of it. Harm: one that is listed as new though it is warm.
+            // One that started lately is cold too: what all senders hold would push it over when they hear of
+            // it. Harm: one that is listed as new though it is warm.
             if e.born > r.born.max(now - self.cold.1) {
                 (r.born, r.outage, r.back) = (e.born, true, Some(e.born));
-                self.come_in_turn(e.ep);
+                self.come_in_turn(&e.ep.into(), false);
             }
             self.held.changed.insert(e.dest);
         }
@@ -381,7 +366,7 @@
         let Some(w) = self.webhooks.get(&id) else { return };
         let t = self.types.get(&w.evt);
         // No further attempt is allowed.
-        let over = t.is_none() || w.tries >= self.attempts;
+        let over = t.is_none() || w.tries >= self.caps.attempts;
         let by_zone = t.is_some_and(|t| t.effect == Effect::Tokened && !t.by_all);
         let zone = w.ran.as_ref().filter(|_| by_zone).map(|r| r.0.clone());
         let facts = Facts {
@@ -452,7 +437,7 @@
 
     /// The holding limit is near: the held webhook with the least still to win makes room.
     fn no_room(&self) -> Option<Pick> {
-        if self.webhooks.len() < self.holds.max(2) {
+        if self.webhooks.len() < self.caps.holds.max(2) {
             return None;
         }
         let worth = |id: &&u64| self.webhooks.get(id).map_or(0.0, |w| self.value(w, self.now + 1.0));
@@ -474,36 +459,36 @@
     // ---- list ----
 
     fn watch_due(&self) -> Option<Pick> {
-        (self.ask && !self.watching && self.now >= self.ask_at).then_some(Pick::Any)
+        (self.watch.ask && !self.watch.watching && self.now >= self.watch.ask_at).then_some(Pick::Any)
     }
 
     /// A turn to ask: many that start or are refused together would be refused again. Twenty calls a second
     /// from all of them; half of the allowed time at most, as news waits meanwhile.
     fn list_turn(&mut self) -> f64 {
-        self.chance() * (0.05 * (self.senders - 1.0)).min(self.within / 2.0)
+        self.chance() * (0.05 * (self.senders - 1.0)).min(self.watch.within / 2.0)
     }
 
     fn ask_list(&mut self, _: Pick, out: &mut dyn Outbox) {
         out.watch(true);
         // Asked again well inside the allowed time if no answer comes at all.
-        self.ask_at = self.now + self.within / 3.0;
+        self.watch.ask_at = self.now + self.watch.within / 3.0;
     }
 
     fn aged(&self) -> Option<Pick> {
-        if self.now < self.next_age {
+        if self.now < self.aging.next {
             return None;
         }
         // A route with calls out is in use.
         let old =
             |r: &Route| r.calls.is_empty() && r.used + AGE < self.now && !(r.ready && r.samples.is_empty());
-        let found = self.aging.iter().find(|ep| self.routes.get(*ep).is_some_and(old));
+        let found = self.aging.due.iter().find(|ep| self.routes.get(*ep).is_some_and(old));
         found.cloned().map(Pick::Route).or(Some(Pick::Any))
     }
 
     fn forget(&mut self, pick: Pick, _: &mut dyn Outbox) {
         let Pick::Route(ep) = pick else {
-            self.next_age = self.now + 5.0;
-            self.aging.clear();
+            self.aging.next = self.now + 5.0;
+            self.aging.due.clear();
             self.key_rests.retain(|_, t| *t + 1.0 > self.now);
             return;
         };
@@ -574,18 +559,26 @@
         // Twice what the rate lets expect: few calls from many senders bunch by chance.
         let came = 2.0 * r.rate * (self.now - since).max(0.0) / self.endpoints(r) + 1.0;
         let part = (came * eps / self.senders).min(1.0);
-        part / self.cold_rate(r, m) / eps
+        let wait = part / self.cold_rate(r, m) / eps;
+        // Once it answers the budget grows meanwhile; what is taken until a time is a quadratic in it.
+        let (from, warm, _) = self.cold;
+        let grows = |back: f64| (1.0 - from) / (from * warm + (1.0 - from) * (self.now - back)).max(0.001);
+        let more = r.back.map_or(0.0, grows);
+        if more > 0.0 { ((1.0 + 2.0 * more * wait).sqrt() - 1.0) / more } else { wait }
     }
 
     /// Each sender in its turn, as with trials: many may hold a webhook when a cold route takes calls again.
-    fn come_in_turn(&mut self, ep: &str) {
+    /// What was put off for longer while nobody knew comes earlier once it answers; a circuit's pause stays.
+    fn come_in_turn(&mut self, ep: &Name, answers: bool) {
         let (now, jitter) = (self.now, self.chance());
-        let Some((ep, r)) = self.routes.get_key_value(ep) else { return };
-        let turn = self.turn(r, self.meters.get(&Self::scope(ep, r)), now - 4.0, 1.0);
-        if r.outage && r.cold_due < now {
-            let (ep, due) = (ep.clone(), now + turn * (0.2 + 1.6 * jitter));
-            self.routes.entry(ep).and_modify(|r| r.cold_due = due);
-        }
+        let Some(r) = self.routes.get_mut(ep).filter(|r| r.outage) else { return };
+        r.back = r.back.or(Some(now).filter(|_| answers));
+        let (r, scope) = (&self.routes[ep], Self::scope(ep, &self.routes[ep]));
+        let due = now + self.turn(r, self.meters.get(&scope), now - 4.0, 1.0) * (0.2 + 1.6 * jitter);
+        let latest = if answers { due } else { f64::INFINITY };
+        let Some(r) = self.routes.get_mut(ep) else { return };
+        r.cold_due = if r.cold_due < now { due } else { r.cold_due.min(latest) };
+        r.trial_at = r.trial_at.min(latest.max(now + r.cooling));
     }
 
     /// Endpoints of one destination share its rate and capacity. Those that left have no part in it.
@@ -660,7 +653,7 @@
 
     fn first_window(&self) -> f64 {
         // An eighth of the slots, one at least: half of them opened more connections than endpoints take.
-        (self.slots as f64 / 8.0).max(1.0)
+        (self.caps.slots as f64 / 8.0).max(1.0)
     }
 
     /// How long all but the slowest tenth of recent answers took; 0.6 s at least where few are known.
@@ -694,7 +687,7 @@
 
     /// All slots are taken and a webhook waits: the call longest past patience is called off.
     fn stuck(&self) -> Option<Pick> {
-        if !self.may_call_off || self.busy < self.slots || self.held.is_empty() {
+        if !self.caps.may_call_off || self.busy < self.caps.slots || self.held.is_empty() {
             return None;
         }
         let worst = self.patience_ends().min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -722,7 +715,7 @@
     }
 
     fn end_call(&mut self, id: u64, ep: &str, outcome: Outcome, took: f64, report: Option<(f64, f64)>) {
-        let (now, slots, senders) = (self.now, self.slots as f64, self.senders);
+        let (now, slots, senders) = (self.now, self.caps.slots as f64, self.senders);
         let jitter = self.chance();
         let Some((ep, r)) = self.routes.get_key_value(ep) else { return };
         let (ep, scope) = (ep.clone(), Self::scope(ep, r));
@@ -754,7 +747,7 @@
             return;
         }
         r.used = now;
-        self.ages.set(ep.clone(), now + AGE);
+        self.aging.timers.set(ep.clone(), now + AGE);
         // Only the first loss of a row counts: a hung endpoint is tried again and again after a pause.
         let lost = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Reset);
         self.stale.extend((!trial && r.bad_row == 0).then_some((now, idle, lost)));
@@ -767,7 +760,7 @@
             // The median of the last five reports: they are noisy.
             m.limits.drain(..m.limits.len().saturating_sub(5));
         }
-        let good = outcome == Outcome::Delivered;
+        let (good, mut returns) = (outcome == Outcome::Delivered, false);
         let incident = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
         match outcome {
             Outcome::Moot(_) => return,
@@ -802,6 +795,7 @@
                 if std::mem::take(&mut r.open) {
                     r.samples.clear();
                 }
+                returns = r.outage && r.back.is_none();
                 if r.outage && now - *r.back.get_or_insert(now) > self.cold.1 {
                     (r.outage, r.back) = (false, None);
                 }
@@ -831,6 +825,10 @@
         r.samples.drain(..r.samples.len().saturating_sub(30));
         (r.slow, r.score) = (Self::slow_end(&r.samples), Self::score(&r.samples));
         if good {
+            let eps = self.dests.get(&scope.0).filter(|_| returns).cloned().into_iter().flatten();
+            for x in eps.filter(|x| scope.1.is_none() || *x == ep) {
+                self.come_in_turn(&x, true);
+            }
             return;
         }
         // A kept connection that ends says nothing of its endpoint; one that is down refuses the next.
@@ -841,7 +839,7 @@
         if scope.1.is_none() && self.all_failing(scope.0) {
             self.mark_outage(&scope, now - 2.0);
             for ep in self.dests.get(&scope.0).cloned().into_iter().flatten() {
-                self.come_in_turn(&ep);
+                self.come_in_turn(&ep, false);
             }
         }
         let Some(r) = self.routes.get_mut(&ep) else { return };
@@ -1040,7 +1038,7 @@
         self.webhooks.entry(id).and_modify(|w| (w.out, w.tries) = (Some(ep.clone()), w.tries + 1));
         self.held.take(id);
         self.active.insert(ep.clone());
-        self.ages.set(ep.clone(), now + AGE);
+        self.aging.timers.set(ep.clone(), now + AGE);
         self.current.insert(dest, ep);
     }
 
@@ -1080,16 +1078,16 @@
 
     /// When a rule may fire next without further input. What only an outcome can change needs no wake.
     fn next_at(&self) -> f64 {
-        let mut at = if self.ask && !self.watching { self.ask_at } else { f64::INFINITY };
+        let mut at = if self.watch.ask && !self.watch.watching { self.watch.ask_at } else { f64::INFINITY };
         at = at.min(self.held.next());
-        if self.busy < self.slots {
+        if self.busy < self.caps.slots {
             at = at.min(self.gates.next());
             let active = self.active();
             let eps = active.iter().filter_map(|d| self.dests.get(d)).flatten();
             let times = eps.filter_map(|ep| Some(self.opens_at(ep, self.routes.get(ep)?)));
             at = times.filter(|t| *t > self.now).fold(at, f64::min);
         }
-        if self.busy >= self.slots && !self.held.is_empty() && self.may_call_off {
+        if self.busy >= self.caps.slots && !self.held.is_empty() && self.caps.may_call_off {
             at = self.patience_ends().map(|c| c.0).fold(at, f64::min);
         }
         // 10 ms at least: small against every target latency, and few enough wakes to cost little.
@@ -1098,7 +1096,7 @@
 
     /// When a route takes a call, as far as time alone decides it.
     fn free_at(&self, ep: &Name, r: &Route) -> f64 {
-        if self.busy >= self.slots { f64::INFINITY } else { self.opens_at(ep, r) }
+        if self.busy >= self.caps.slots { f64::INFINITY } else { self.opens_at(ep, r) }
     }
 
     /// The same where there are slots.
--- a/src/scan.rs
+++ b/src/scan.rs
@@ -30,7 +30,7 @@
 fn spent(l: &Logic) -> Option<u64> {
     let over = |id: &u64| {
         let w = &l.webhooks[id];
-        l.now >= l.repeat_until(w) || w.tries >= l.attempts || !l.types.contains_key(&w.evt)
+        l.now >= l.repeat_until(w) || w.tries >= l.caps.attempts || !l.types.contains_key(&w.evt)
     };
     held(l).into_iter().map(|x| x.1).find(over)
 }
@@ -75,7 +75,7 @@
 }
 
 fn next(l: &Logic) -> f64 {
-    let mut at = if l.ask && !l.watching { l.ask_at } else { f64::INFINITY };
+    let mut at = if l.watch.ask && !l.watch.watching { l.watch.ask_at } else { f64::INFINITY };
     for (dest, id) in held(l) {
         let eps = l.dests.get(&dest).into_iter().flatten();
         let times = eps.map(|ep| l.free_at(ep, &l.routes[ep])).filter(|t| *t > l.now);
@@ -84,7 +84,7 @@
         let route = if own > l.now { own } else { times.fold(f64::INFINITY, f64::min) };
         at = at.min(l.repeat_until(w)).min(w.ttl_at - 0.005).min(route);
     }
-    if l.busy >= l.slots && !l.held.is_empty() && l.may_call_off {
+    if l.busy >= l.caps.slots && !l.held.is_empty() && l.caps.may_call_off {
         at = l.patience_ends().map(|c| c.0).fold(at, f64::min);
     }
     at.max(l.now + 0.01)
@@ -148,7 +148,7 @@
             None => break,
         }
     }
-    if l.busy < l.slots {
+    if l.busy < l.caps.slots {
         l.gates.seen();
     }
 }
@@ -168,8 +168,8 @@
     l.kinds.insert("plain".into(), (1, false));
     l.kinds.insert("apart".into(), (3, true));
     l.customers.insert("c".into(), (2.0, 0.5, VecDeque::new()));
-    (l.slots, l.holds, l.attempts, l.may_call_off) = (slots, 60, 5, true);
-    (l.cold, l.idle_for, l.key_rest, l.ask, l.within) = ((0.3, 4.0, 1.5), 2.0, 0.4, ask, 5.0);
+    (l.caps.slots, l.caps.holds, l.caps.attempts, l.caps.may_call_off) = (slots, 60, 5, true);
+    (l.cold, l.idle_for, l.key_rest, l.watch.ask, l.watch.within) = ((0.3, 4.0, 1.5), 2.0, 0.4, ask, 5.0);
     l
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What the policy knows, as plain records: no decisions and no figures here.
 
 use crate::Effect;
+use crate::index::Timers;
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -94,6 +95,43 @@
     pub cold_due: f64,
 }
 
+/// What shares a limit, waits and outages: a destination, or one route of it where routes are apart.
+pub(crate) type Scope = (u64, Option<Name>);
+/// What decides how held webhooks of a destination are treated alike: event type, whether beyond their
+/// customer's share, and the zone that alone knows them for a repeat.
+pub(crate) type Group = (Name, bool, Option<Name>);
+
+/// Late or not, the value with its sign turned, the target time: least first.
+pub(crate) type Rank = (u8, f64, f64);
+
+/// Most calls out at once, webhooks held and attempts for one, and whether calls may be called off.
+#[derive(Default)]
+pub(crate) struct Caps {
+    pub slots: usize,
+    pub holds: usize,
+    pub attempts: u32,
+    pub may_call_off: bool,
+}
+
+/// When routes have been unused for the time in which they age, those that have, and when they are looked at.
+#[derive(Default)]
+pub(crate) struct Ages {
+    pub timers: Timers<Name>,
+    pub due: BTreeSet<Name>,
+    pub next: f64,
+}
+
+/// How the list is followed.
+#[derive(Default)]
+pub(crate) struct Watch {
+    /// It has to be asked for, and within which time.
+    pub ask: bool,
+    pub within: f64,
+    pub watching: bool,
+    pub ask_at: f64,
+    pub refusals: u32,
+}
+
 #[derive(Default)]
 pub(crate) struct Meter {
     pub wait_until: f64,
