--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -464,6 +464,20 @@
             "0 list a:z:bulk:50\n0 hand 1 idem\n0.1 end 1 a full 1.95\n2.65 pass\n9 pass",
             &[Sends(0.1, 2.65, 0..=0), Sends(2.65, 9.0, 1..=1)],
         ),
+        (
+            // Back after 5 s, a destination got one call from each sender in ten seconds; the rest was given up unsent.
+            "once a destination answers, further calls come as its cold budget grows",
+            (64, 50, 100, false),
+            "0 list a:z:plain:67\n0 hand 1 idem\n0.1 end 1 a full 3\n3.9 end 1 a ok\n4 hand 2 idem\n4 hand 3 idem\n4 hand 4 idem\n4 hand 5 idem\n8.95 pass",
+            &[Sends(4.0, 7.0, 1..=1), Sends(4.0, 8.95, 3..=3)],
+        ),
+        (
+            // Trials at its other endpoints stayed as far off as they were set while nobody knew.
+            "and what was put off at its other endpoints comes earlier",
+            (64, 50, 100, false),
+            "0 list a:z:plain:67 b:z:plain:67\n0 hand 1 idem\n0 hand 2 idem\n0 hand 3 idem\n0.1 end 1 a noconn\n1.2 end 2 a noconn\n2.4 end 3 a noconn\n2.4 end 3 b noconn\n2.4 end 1 b noconn\n3.5 end 1 a noconn\n3.5 end 1 b noconn\n4.7 end 2 b noconn\n4.7 end 3 b noconn\n6.0 pass\n7.5 end 1 b ok\n7.5 end 2 b ok\n7.5 end 3 b ok\n7.5 end 1 a ok\n7.5 end 2 a ok\n7.5 end 3 a ok\n7.6 hand 20 idem\n7.6 hand 21 idem\n7.6 hand 22 idem\n7.6 hand 23 idem\n7.6 hand 24 idem\n7.6 hand 25 idem\n15.5 pass",
+            &[Sends(7.5, 11.0, 2..=2)],
+        ),
         (
             // 65 senders with one webhook each all went again a second after an error and pushed it over.
             "after an error where nothing good is known the next call waits for its turn among all",
