A connection is not kept once its endpoint left the list while its call was out

Seen: a_new_endpoint_at_an_old_address_inherits_nothing failed once on a loaded machine: the old endpoint's connection closed after 4.76 s idle instead of at once. Cause not found.

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -828,6 +828,10 @@
     /// Keeps a connection that carries nothing for the next call.
     fn keep(&mut self, link: usize) {
         let ep = line_ep(&self.links, link);
+        // Its endpoint left the list, or moved, while the call was out.
+        if self.bridge.dial(&ep) != self.links.get(&link).map(|l| l.addr) {
+            return self.close(link, Reason::Idle);
+        }
         self.pool.put(&ep, link);
         let (idle, _) = self.bridge.config().connection_times();
         self.set_due(link, self.now + (idle - IDLE_MARGIN).max(idle / 2.0));
