A start told as of a time to come counts as of now; fleet refuses logs without attempts

Read over as a whole: a born_ms ahead of the clock made the cold budget negative, so a call went at once (the new case in tests/decisions.rs fails without logic.rs, list(), as it is now). Tried as a new user: logs at info gave tables of zeros from scalebarrow-lab fleet, which now exits 2 and says what to do; the default span is shown.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -57,7 +57,13 @@
         let bytes = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
         logs.push(String::from_utf8_lossy(&bytes).into_owned());
     }
-    Fleet::of(&logs, span).ok_or_else(|| format!("{}: no log lines in any *.log", dir.display()))
+    let fleet =
+        Fleet::of(&logs, span).ok_or_else(|| format!("{}: no log lines in any *.log", dir.display()))?;
+    // Counts of nothing would look like a fleet that does nothing.
+    let followed = fleet.spans.values().any(|s| s.connecting > 0 || !s.calls.is_empty());
+    followed
+        .then_some(fleet)
+        .ok_or_else(|| format!("{}: no attempts: start senders with --log debug", dir.display()))
 }
 
 impl Fleet {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -124,7 +124,7 @@
     #[bpaf(command)]
     Fleet {
         /// Seconds that are counted together
-        #[bpaf(long, argument("SECONDS"), fallback(1.0), guard(|s| *s >= 0.001, "must be 0.001 at least"))]
+        #[bpaf(long, argument("SECONDS"), guard(|s: &f64| *s >= 0.001 && s.is_finite(), "must be 0.001 at least"), fallback(1.0), display_fallback)]
         span: f64,
         /// The folder with one `*.log` for each sender
         #[bpaf(positional("DIR"))]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -258,7 +258,7 @@
             // One that started lately is cold too: what all senders hold would push it over when they hear of
             // it. Harm: one that is listed as new though it is warm.
             if e.born > r.born.max(now - self.cold.1) {
-                (r.born, r.outage, r.back) = (e.born, true, Some(e.born));
+                (r.born, r.outage, r.back) = (e.born, true, Some(e.born.min(now)));
                 self.come_in_turn(&e.ep.into(), false);
             }
             self.held.changed.insert(e.dest);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -445,6 +445,12 @@
             "10 list a:z:bulk:50:9\n10 hand 1 idem\n10.4 pass\n17 pass",
             &[Sends(10.0, 10.4, 0..=0), Sends(10.4, 17.0, 1..=1)],
         ),
+        (
+            "a start that is told as of a time to come counts as of now",
+            (64, 50, 100, false),
+            "10 list a:z:plain:50:40\n10 hand 1 idem\n10.4 pass\n17.9 pass",
+            &[Sends(10.0, 10.4, 0..=0), Sends(10.4, 17.9, 1..=1)],
+        ),
         (
             "one that started longer ago than a return takes is warm",
             (64, 50, 100, false),
