Emulator: a call goes out on a new connection only if it still may, as on sockets

Traced: message 13515 was sent at 15.0791 and ran at 15.0943, timed out, was sent again at 30.0123 (14.933 s later, inside the 14.95 s of Logic::repeat_until) over a new connection, and ran at 30.1736, 79 ms after its endpoint had forgotten it. Ruled out: the module (the repeat was decided in time, and the sender on sockets asks may_go once the connection is up: driver.rs send_call, bridge.rs going_out). At fault: Run::connect in run.rs put the call on its way as soon as it was decided, handshake and all, and asked nobody; it also let calls run whose sender had given them up before their connection was up. Change: an event when a new connection is up; the call goes out if the policy still lets it, else it is held back (Told::HeldBack, counted) and the connection kept. The new test fails without the change.

--- a/crates/emulator/src/events.rs
+++ b/crates/emulator/src/events.rs
@@ -14,7 +14,10 @@
     ConnectFailed,
     Reset,
     Cancelled,
+    /// Never attempted: no slot was free, or the webhook was over.
     Moot,
+    /// Attempted, but not written: it might not go out any more when its connection was up.
+    HeldBack,
 }
 
 /// A final answer.
--- a/crates/emulator/src/measure.rs
+++ b/crates/emulator/src/measure.rs
@@ -75,6 +75,8 @@
     pub full: u64,
     pub timed_out: u64,
     pub connect_failed: u64,
+    /// Calls that might not go out any more when their connection was up.
+    pub held_back: u64,
     pub reset: u64,
     /// Repeats that a destination knew and dropped.
     pub known_repeats: u64,
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -16,6 +16,10 @@
         left: f64, tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
     );
     fn closing(&mut self, now: f64, by: f64, out: &mut dyn Outbox);
+    /// Whether an attempt still goes out now that its connection is up.
+    fn may_go(&self, _now: f64, _id: u64, _ep: &str) -> bool {
+        true
+    }
     fn outcome(
         &mut self, now: f64, id: u64, ep: &str, outcome: Outcome, took: f64, ended: bool,
         report: Option<(f64, f64)>, out: &mut dyn Outbox,
@@ -44,6 +48,9 @@
     fn closing(&mut self, now: f64, by: f64, out: &mut dyn Outbox) {
         Sender::closing(self, now, by, out);
     }
+    fn may_go(&self, now: f64, id: u64, ep: &str) -> bool {
+        Sender::may_go(self, now, id, ep)
+    }
     fn outcome(
         &mut self, now: f64, id: u64, ep: &str, outcome: Outcome, took: f64, ended: bool,
         report: Option<(f64, f64)>, out: &mut dyn Outbox,
--- a/crates/emulator/src/rules.rs
+++ b/crates/emulator/src/rules.rs
@@ -253,7 +253,7 @@
     }
 
     fn outcome(&mut self, now: Nanos, webhook: u64, sender: u32, ep: u32, told: Told) {
-        if !matches!(told, Told::Delivered | Told::Moot) {
+        if !matches!(told, Told::Delivered | Told::Moot | Told::HeldBack) {
             self.outages.entry(self.scopes[ep as usize]).or_default().saw.insert(sender, now);
         }
         let Some(k) = self.kept.get_mut(webhook as usize - 1) else { return };
--- a/crates/emulator/src/run.rs
+++ b/crates/emulator/src/run.rs
@@ -45,6 +45,10 @@
         ep: u32,
         no_slot: bool,
     },
+    /// A new connection is up.
+    Up {
+        call: Place,
+    },
     Reached {
         call: Place,
     },
@@ -335,6 +339,7 @@
                 let ended = self.hooks[webhook as usize - 1].ended;
                 self.outcome(now, sender, webhook, ep, Outcome::Moot(no_slot), 0.0, ended, None);
             }
+            Event::Up { call } => self.up(now, call),
             Event::Reached { call } => self.reached(now, call),
             Event::Served { call } => self.served(now, call),
             Event::Answer { call, told, wait, report } => self.answered(now, call, told, wait, report),
@@ -828,8 +833,31 @@
         self.measures.counts.connections += 1;
         self.fleet.endpoints[ep as usize].connections += 1;
         self.calls[at].connected = true;
-        let reaches = self.way(now + shakes, sender, ep, What::StallOut);
-        self.queue.put(reaches, Event::Reached { call: place });
+        self.queue.put(now + shakes, Event::Up { call: place });
+    }
+
+    /// A new connection is up: the call goes out on it if it still may, as in the sender on sockets. A repeat that
+    /// was decided in time could otherwise arrive when nobody knows it for one any more.
+    fn up(&mut self, now: Nanos, place: Place) {
+        let Some(call) = self.current(place) else { return };
+        let (sender, ep, left) = (call.sender, call.ep, call.left);
+        if left {
+            // Its sender closed the connection before anything was written to it.
+            return self.vanish(place.0);
+        }
+        let name = &self.fleet.names[ep as usize];
+        let policy = self.hosts[sender as usize].policy.as_deref();
+        let may = |w: &u64| policy.is_some_and(|p| p.may_go(seconds(now), *w, name));
+        if call.hooks.iter().all(may) {
+            let reaches = self.way(now, sender, ep, What::StallOut);
+            return self.queue.put(reaches, Event::Reached { call: place });
+        }
+        let call = &mut self.calls[place.0 as usize];
+        call.gone = true;
+        // The connection itself is as good as any.
+        call.connected = false;
+        self.hosts[sender as usize].idle.entry(ep).or_default().push(now);
+        self.finish(now, place, Told::HeldBack, 0, None);
     }
 
     /// When a message that leaves now arrives: the way of its zones, what is lost sent again, and no sooner than a
@@ -1054,6 +1082,7 @@
             Told::TimedOut | Told::Cancelled => counts.timed_out += 1,
             Told::ConnectFailed => counts.connect_failed += 1,
             Told::Reset => counts.reset += 1,
+            Told::HeldBack => counts.held_back += 1,
             Told::Delivered | Told::Moot => {}
         }
         let wait_s = seconds(wait);
@@ -1066,6 +1095,7 @@
             Told::Reset => Outcome::Reset,
             Told::Cancelled => Outcome::Cancelled,
             Told::Moot => Outcome::Moot(false),
+            Told::HeldBack => Outcome::Moot(true),
         };
         self.hosts[sender as usize].calls.remove(&place.0);
         let hooks = self.calls[place.0 as usize].hooks.clone();
--- a/crates/emulator/tests/rules.rs
+++ b/crates/emulator/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod helpers;
 use helpers::{Careful, Flaw, office, play, trouble};
-use scalebarrow_emulator::spec::{Effect, LimitBy, Struck, Trouble, What, World};
+use scalebarrow_emulator::spec::{Effect, EventType, LimitBy, Struck, Trouble, What, World};
 use scalebarrow_emulator::{Rule, run};
 
 fn troubled(of: Vec<Trouble>) -> World {
@@ -130,3 +130,22 @@
     let day = play(&world, 3, "random");
     assert_eq!(day.counts.falls, 0);
 }
+
+/// A repeat is decided while it is still known and its connection comes up when it is not: in the log it goes out in
+/// time, at its endpoint it would take effect a second time.
+#[test]
+fn a_repeat_whose_connection_comes_up_too_late_does_not_go_out() {
+    let mut world = office(8.0);
+    world.kinds.truncate(1);
+    world.event_types = vec![EventType { known_s: 3.0, ttl_s: 8.0, ..world.event_types[1].clone() }];
+    (world.senders.count, world.destinations.endpoints, world.clients.rate) = (4, (1, 1), 80.0);
+    // A connection takes longer than the margin that repeats leave.
+    world.troubles = vec![
+        trouble(What::Hang, 2.0, 6.0, 0.0, 0.0),
+        trouble(What::SlowConnect, 2.0, 12.0, 0.4, 0.0),
+    ];
+    let days: Vec<_> = (0..6).map(|seed| play(&world, seed, "module")).collect();
+    let broken: Vec<_> = days.iter().flat_map(|d| &d.broken).collect();
+    assert!(broken.is_empty(), "{broken:?}");
+    assert!(days.iter().map(|d| d.counts.held_back).sum::<u64>() > 0, "no call came that late");
+}
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -65,6 +65,9 @@
     fn closing(&mut self, now: f64, by: f64, out: &mut dyn Outbox) {
         self.time(|p| p.closing(now, by, out));
     }
+    fn may_go(&self, now: f64, id: u64, ep: &str) -> bool {
+        self.policy.may_go(now, id, ep)
+    }
     fn outcome(
         &mut self, now: f64, id: u64, ep: &str, outcome: Outcome, took: f64, ended: bool,
         report: Option<(f64, f64)>, out: &mut dyn Outbox,
