--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -326,7 +326,8 @@
             }
             let over = self.journal.open_webhook(*number).is_none();
             let took = now - call.decided_at;
-            debug!(code = "back", number, ep = call.ep, outcome = ?ending.outcome, took, over, "an attempt is back");
+            let (ep, outcome) = (&call.ep, ending.outcome);
+            debug!(code = "back", number, ep, ?outcome, took, over, ?report, "an attempt is back");
             let out = &mut self.asked;
             self.sender.outcome(now, *number, &call.ep, ending.outcome, took, over, report, out);
             self.settle();
