A silent agent is found after 2.4 s instead of 21 s, and asked every half second

Need: the list's clock. What a silent watch misses counts as told 6 s after it fell silent (2 s after the wait of a call that may wait); what an agent has counts whether or not a watch stands. WATCH_MS in list.rs was 20 s for all, so a silent watch was found after 21 s, and a silent agent was asked once a second, longer than the half second in which sends to a draining endpoint have to stop. Change: where lists are pushed a watch waits 2 s and is given up 0.4 s later, whole lists are given up after 0.4 s; an agent answers at no cost. Where lists are asked for all stays as it was (20 s and 1 s). Tests: each wait inside its clock; a watch, two, and three whole lists that stay silent with a drain missed, the drain kept (fails with 20 s).

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -238,7 +238,8 @@
             dropped, "bytes of an unfinished record at the journal's end are dropped"
         );
     }
-    let (listen, discovery, list) = (config.listen, config.discovery, List::known(config.known.seq));
+    let (listen, discovery) = (config.listen, config.discovery);
+    let list = List::known(config.known.seq, config.asks());
     let (most_clients, most_lines) = most_links(&config.limits);
     let most_buffered = most_buffered(&config.limits);
     let (name, (slots, holds, senders)) = (config.name.clone(), config.size());
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -4,12 +4,19 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 
-/// How long the platform may hold a watch that has nothing to tell: a third of what it allows.
-pub const WATCH_MS: u64 = 20_000;
+/// How long a watch may be held that has nothing to tell. Where lists are pushed, the agent beside the sender answers at
+/// no cost, and what it has counts as told whether or not a watch stands: one that has fallen silent is found soon. Where
+/// they are asked for, each call costs the platform, and what a silent one misses counts only when its wait is over: a
+/// third of what the platform allows.
+const PUSHED_MS: u64 = 2_000;
+const ASKED_MS: u64 = 20_000;
 /// A list of ten thousand endpoints takes about 2 MB.
 const MOST_LIST: usize = 4 * 1024 * 1024;
-/// An agent answers at once; one that has said nothing for so long is silent.
-const PATIENCE: f64 = 1.0;
+/// An answer that is due comes at once; who has said nothing for so long is silent. Asked again with the pause between
+/// two tries, an agent that was silent in an outage tells what it has before half a second of it has passed, the time in
+/// which sends to an endpoint that drains have to stop. A platform that is asked may have a queue.
+const PUSHED_PATIENCE: f64 = 0.4;
+const ASKED_PATIENCE: f64 = 1.0;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
@@ -60,13 +67,15 @@
     seq: Option<u64>,
     /// A standing watch whose connection ended goes on over another one, once.
     renewed: bool,
+    /// Lists have to be asked for; otherwise an agent is sent them.
+    asked: bool,
 }
 
 impl List {
     /// The list is known in this version. To ask for changes alone costs the platform little; whole lists for all
     /// senders that start together keep it busy for so long that all of them are refused.
-    pub fn known(seq: u64) -> Self {
-        List { decoder: Decoder::answers(MOST_LIST), seq: Some(seq), renewed: false }
+    pub fn known(seq: u64, asked: bool) -> Self {
+        List { decoder: Decoder::answers(MOST_LIST), seq: Some(seq), renewed: false, asked }
     }
 
     /// From which version changes are asked for; none where the whole list is.
@@ -76,9 +85,11 @@
 
     /// The call to make now, and how long its answer may take.
     pub fn call(&self, host: &SocketAddr) -> (Vec<u8>, f64) {
+        let (wait, patience) =
+            if self.asked { (ASKED_MS, ASKED_PATIENCE) } else { (PUSHED_MS, PUSHED_PATIENCE) };
         let (query, patience) = match self.seq {
-            None => (String::new(), PATIENCE),
-            Some(seq) => (format!("?since={seq}&timeout_ms={WATCH_MS}"), WATCH_MS as f64 / 1e3 + PATIENCE),
+            None => (String::new(), patience),
+            Some(seq) => (format!("?since={seq}&timeout_ms={wait}"), wait as f64 / 1e3 + patience),
         };
         (format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes(), patience)
     }
@@ -138,6 +149,22 @@
         answer(200, &format!("{{\"seq\":{seq},\"whole\":{whole},\"hosts\":[]}}"))
     }
 
+    /// What a silent watch misses counts as told after 6 s where lists are pushed, else 2 s after its wait.
+    #[test]
+    fn a_silent_call_is_found_inside_its_clock() {
+        let host = SocketAddr::from(([127, 0, 0, 1], 80));
+        for (asked, wait, clock) in [(false, 2.0, 6.0), (true, 20.0, 22.0)] {
+            let mut list = List::known(7, asked);
+            let (call, patience) = list.call(&host);
+            assert!(String::from_utf8(call).unwrap().contains(&format!("since=7&timeout_ms={}", wait * 1e3)));
+            // It goes on over a new connection at once, and that one's answer may be lost too.
+            assert!(wait < patience && patience < clock - 0.5, "{patience} s for a clock of {clock} s");
+            assert!(list.broken() && !list.broken(), "a second silence leads to the whole list");
+            assert!(!asked || list.call(&host).1 <= 1.0);
+            assert!(asked || list.call(&host).1 < 0.5, "an agent is asked again before a drain has to be kept");
+        }
+    }
+
     /// 100 senders that start together and ask for whole lists, each refusal answered with another such call at once,
     /// kept the list service refusing for as long as they lived.
     #[test]
@@ -163,7 +190,7 @@
             ("but a whole list may be of any version", vec![news(3, true)], Some(Ok(3)), Some(3)),
         ];
         for (name, answers, last, since) in cases {
-            let mut list = List::known(7);
+            let mut list = List::known(7, true);
             let mut heard = None;
             for a in answers {
                 heard = Some(list.feed(&a).map(|got| got.unwrap().0.seq));
--- a/crates/sender/tests/sockets.rs
+++ b/crates/sender/tests/sockets.rs
@@ -676,6 +676,36 @@
     }
 }
 
+/// A watch, then the one that follows it, then whole lists stay without an answer, as if their connections had been
+/// forgotten on the way; a drain that they should have told must be known inside the clock of each.
+#[test]
+fn a_drain_missed_by_silent_calls_is_kept() {
+    let drained = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    // Calls for the list that stay silent, and within which time one is answered.
+    for (silent, clock) in [(1, 6.0), (2, 6.0), (5, 7.0)] {
+        let endpoint = Endpoint::start(|_, _| Deed::Say(OK));
+        let known = list(1, true, &[host("a", endpoint.at, "plain", "SERVING")]);
+        let drain = list(2, true, &[host("a", endpoint.at, "plain", "DRAINING")]);
+        let answer = format!("{drained}{}\r\n\r\n{drain}", drain.len());
+        let agent = Endpoint::start(move |count, _| match count.cmp(&silent) {
+            std::cmp::Ordering::Equal => Deed::Tell(answer.clone()),
+            _ => Deed::Silence,
+        });
+        let platform = Platform::start(known.clone(), 0);
+        let change = (platform.at.to_string(), agent.at.to_string());
+        let program = Program::start(&platform, &known, &[(&change.0, &change.1)]);
+        let calls: Vec<_> = (0..=silent).map(|_| agent.call().at).collect();
+        let took = (calls[silent] - calls[0]).as_secs_f64();
+        assert!(took < clock, "the list was asked for anew after {took} s");
+        // Silent agents are asked so often that what one tells at its return comes before a drain has to be kept.
+        assert!(calls.windows(2).skip(2).all(|c| (c[1] - c[0]).as_secs_f64() < 0.6), "{calls:?}");
+        // What is told at once has to be followed within the grace of drains.
+        std::thread::sleep(Duration::from_millis(500));
+        assert_eq!(program.hand_in("idem", "late", 300, b""), 202);
+        assert!(endpoint.calls.recv_timeout(Duration::from_millis(600)).is_err(), "a drain was not kept");
+    }
+}
+
 #[test]
 fn a_wrong_configuration_is_named_in_one_line() {
     let good = helpers::config(address(), address(), EMPTY);
