A share of a told limit is set once the limit is known, and even where it is used up

Cause, src/logic.rs: send set the share at the first call, with no rate known, to 1 a second over max(0.001), a share of 1,000, and its least to 500; no refusal ever narrowed it. Printed: share=500 least=500 at row 10 of refusals. And pauses at a limit in use ended at 1.6 s whatever the number of senders. Change: the share is set once a rate is known; a report of nothing left brings it down to an even part and lets new destinations start there for a minute; pauses at a used-up limit follow half a turn and grow until all senders use half of it; a share grows fast only where a whole call waits. Tests: limits_that_only_answers_tell, the first fails without the change.

--- a/crates/emulator/tests/rules.rs
+++ b/crates/emulator/tests/rules.rs
@@ -140,10 +140,8 @@
     world.event_types = vec![EventType { known_s: 3.0, ttl_s: 8.0, ..world.event_types[1].clone() }];
     (world.senders.count, world.destinations.endpoints, world.clients.rate) = (4, (1, 1), 80.0);
     // A connection takes longer than the margin that repeats leave.
-    world.troubles = vec![
-        trouble(What::Hang, 2.0, 6.0, 0.0, 0.0),
-        trouble(What::SlowConnect, 2.0, 12.0, 0.4, 0.0),
-    ];
+    world.troubles =
+        vec![trouble(What::Hang, 2.0, 6.0, 0.0, 0.0), trouble(What::SlowConnect, 2.0, 12.0, 0.4, 0.0)];
     let days: Vec<_> = (0..6).map(|seed| play(&world, seed, "module")).collect();
     let broken: Vec<_> = days.iter().flat_map(|d| &d.broken).collect();
     assert!(broken.is_empty(), "{broken:?}");
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -161,7 +161,10 @@
             assert!(wait < patience && patience < clock - 0.5, "{patience} s for a clock of {clock} s");
             assert!(list.broken() && !list.broken(), "a second silence leads to the whole list");
             assert!(!asked || list.call(&host).1 <= 1.0);
-            assert!(asked || list.call(&host).1 < 0.5, "an agent is asked again before a drain has to be kept");
+            assert!(
+                asked || list.call(&host).1 < 0.5,
+                "an agent is asked again before a drain has to be kept"
+            );
         }
     }
 
--- a/src/index.rs
+++ b/src/index.rs
@@ -251,6 +251,11 @@
         self.lines.contains_key(&dest)
     }
 
+    /// How many of a destination may be sent.
+    pub fn waiting(&self, dest: u64) -> usize {
+        self.ready.get(&dest).into_iter().flat_map(|groups| groups.values()).map(|q| q.by_place.len()).sum()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.lines.is_empty()
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,5 +1,4 @@
-//! All decisions of a scalebarrow sender. The interface, with a word on each input, is `src/lib.rs`:
-//! make a `Logic`, hand it its settings, then call one method per input and `settle` after each. That goes
+//! All decisions of a scalebarrow sender; `src/lib.rs` is the interface. After each input `settle` goes
 //! through `RULES` in order, from the top after every firing, until none fires.
 //!
 //! The ordinary route of a webhook is the design's: gates, weighted score, argmax with a margin, hash ties,
@@ -73,9 +72,10 @@
     meters: BTreeMap<Scope, Meter>,
     /// What the way to each zone costs.
     pub ways: BTreeMap<Name, f64>,
-    /// The last limits that were told, wherever, and the usual one.
+    /// The last limits that were told, wherever, the usual one, and when one was last used up.
     told: VecDeque<f64>,
     usual: f64,
+    used_up_at: f64,
     pub cold: (f64, f64, f64),
     held: Held<Group>,
     /// Destinations with webhooks to send and no calls out.
@@ -103,7 +103,7 @@
         logic.chance = (seed & 0xffff_ffff) | (1 << 32);
         (logic.watch.within, logic.idle_for) = (f64::INFINITY, f64::INFINITY);
         (logic.watch.ask_at, logic.aging.next) = (now, now);
-        logic.closes_at = f64::INFINITY;
+        (logic.closes_at, logic.used_up_at) = (f64::INFINITY, f64::NEG_INFINITY);
         logic.cold = (1.0, 0.0, f64::INFINITY);
         (logic.caps.slots, logic.caps.holds, logic.caps.attempts) = (1, 1, 1);
         logic
@@ -121,7 +121,7 @@
     }
 
     pub fn settle(&mut self, out: &mut dyn Outbox) {
-        // Every firing ends a webhook, sends one, or moves a time; the bound guards against a mistake there.
+        // Every firing ends or sends a webhook or moves a time; the bound guards against a mistake there.
         let mut last = "";
         for _ in 0..100_000 {
             self.refresh();
@@ -159,8 +159,7 @@
         }
     }
 
-    /// Looks at a destination where something changed. While calls are out its gates hang on more than its
-    /// own state (patience follows all calls): such ones, as many as slots at most, are looked at each time.
+    /// Looks at a destination where something changed; with calls out each time (patience follows all).
     fn look(&mut self, dest: u64) {
         let (now, idle_for, waits) = (self.now, self.idle_for, self.held.any_for(dest));
         let eps = self.dests.get(&dest).map_or(&[][..], Vec::as_slice);
@@ -308,8 +307,7 @@
             self.close(id);
             return;
         }
-        // How often further attempts are made follows how many of the recent ones succeeded: 0.1 s apart (a
-        // short stall is over by then) when all did, up to 2 s when none.
+        // Further attempts are 0.1 s apart (a short stall) if all recent ones succeeded, up to 2 s if none.
         let good = self.retries.iter().filter(|g| **g).count() + 1;
         let pause = (0.1 * (self.retries.len() + 1) as f64 / good as f64).min(2.0);
         let yields = if full { self.yields(id) * (0.5 + self.chance()) } else { 0.0 };
@@ -317,8 +315,7 @@
         self.hold(id);
     }
 
-    /// How long a webhook leaves a full limit to others: until it lost a tenth of the dearest value, a fifth
-    /// of its time at most. So the dear and hasty find room first, whoever holds them.
+    /// How long a webhook leaves a full limit to dearer ones: while it loses a tenth of the dearest value.
     fn yields(&self, id: u64) -> f64 {
         let Some(w) = self.webhooks.get(&id) else { return 0.0 };
         let dearest = self.types.values().map(|t| t.value).fold(0.0, f64::max);
@@ -414,8 +411,7 @@
         }
     }
 
-    /// Whether an attempt may go out although its connection took its time. What came since and would keep it
-    /// from being made now keeps it back: a wait, a drain, the end of the time for a repeat, a withdrawal.
+    /// Whether an attempt still goes out though its connection came late: no wait, drain or end since.
     pub fn may_go(&self, now: f64, id: u64, ep: &str) -> bool {
         let (Some(w), Some((ep, r))) = (self.webhooks.get(&id), self.routes.get_key_value(ep)) else {
             return false;
@@ -470,8 +466,7 @@
         (self.watch.ask && !self.watch.watching && self.now >= self.watch.ask_at).then_some(Pick::Any)
     }
 
-    /// A turn to ask: many that start or are refused together would be refused again. Twenty calls a second
-    /// from all of them; half of the allowed time at most, as news waits meanwhile.
+    /// A turn to ask, as crowds are refused: twenty calls a second from all, in half of the allowed time.
     fn list_turn(&mut self) -> f64 {
         self.chance() * (0.05 * (self.senders - 1.0)).min(self.watch.within / 2.0)
     }
@@ -522,8 +517,7 @@
         (r.dest, r.apart.then(|| ep.clone()))
     }
 
-    /// Calls a second that a scope takes from all senders: as reported in the last 5 s, else as listed. Where
-    /// none is listed reports of any age stand in, and before the first the usual one elsewhere.
+    /// Calls a second that a scope takes from all: as reported in the last 5 s, listed, reported or usual.
     fn rate(&self, r: &Route, m: Option<&Meter>) -> f64 {
         let since = if r.rate > 0.0 { self.now - 5.0 } else { f64::NEG_INFINITY };
         let told = m.into_iter().flat_map(|m| &m.limits).filter(|l| l.0 > since);
@@ -556,7 +550,7 @@
         // Whole calls in about a second, the shortest span that limits here come in.
         let most = mine.ceil();
         let oldest = m.sent.len().checked_sub(most as usize).and_then(|i| m.sent.get(i));
-        let spent = oldest.filter(|_| rate > 0.0).map_or(0.0, |at| at + most / mine);
+        let spent = oldest.filter(|_| m.least > 0.0).map_or(0.0, |at| at + most / mine);
         m.wait_until.max(empty).max(cold).max(spent)
     }
 
@@ -599,8 +593,7 @@
     fn cooling_off(&mut self, ep: &Name, scope: &Scope, wait: f64) -> bool {
         let (now, senders, jitter) = (self.now, self.senders, self.chance());
         let left = self.meters.get(scope).and_then(|m| m.left).filter(|l| l.1 == now).map(|l| l.0);
-        // It may drain, be new and cold, or slow. A limit makes all refuse; below 4 calls/s each, one tells
-        // of it, but where the report says that a fifth was left.
+        // It may drain, be cold or slow. A limit makes all refuse: below 4 calls/s each, one tells of it.
         let alone = left.is_some_and(|left| left >= 0.2);
         let free = |r: &Route| (alone || r.rate >= 4.0 * senders) && r.ready && !r.open && r.aside <= now;
         let eps = self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice);
@@ -625,12 +618,16 @@
         let taking = fine && left.is_some_and(|left| left < 0.95);
         let (since, m) = (m.full_since - wait - if shut { 2.0 } else { 0.0 }, self.meters.get(scope));
         // Until a limit has room for a call though it were cold, 0.2 s at least; up to eight times that.
-        let cold = 1.0 / (self.cold.0 * self.cold.2 * self.rate(r, m));
-        let room = if taking { cold.clamp(0.2, 4.0) } else { 0.2 };
-        let turn = if taking { 0.0 } else { self.turn(r, m, since, self.endpoints(r)) };
+        let rate = self.rate(r, m);
+        let room = if taking { (1.0 / (self.cold.0 * self.cold.2 * rate)).clamp(0.2, 4.0) } else { 0.2 };
+        // More is called than it takes, and refused calls use it up too: until all together use half of it.
+        let gone = taking && left.is_some_and(|left| left < 0.001);
+        let part = [1.0, 0.0, 0.5][usize::from(taking) + usize::from(gone)];
+        let turn = part * self.turn(r, m, since, self.endpoints(r));
+        let most = (8.0 * room).max(if gone { 2.0 * senders / rate } else { 0.0 });
         let m = self.meters.entry(scope.clone()).or_default();
-        let own = room * f64::from(1 << (m.full_row - 1).min(3)) * (0.75 + 0.5 * jitter);
-        let late = if taking { own } else { turn };
+        let own = (room * f64::from(1 << (m.full_row - 1).min(9))).min(most) * (0.75 + 0.5 * jitter);
+        let late = if taking { own.max(turn) } else { turn };
         let spread = if wait > 0.0 { wait + late * jitter } else { own.max(turn * (0.2 + 1.6 * jitter)) };
         m.wait_until = m.wait_until.max(now + spread);
         m.full_at = if taking { now } else { f64::NEG_INFINITY };
@@ -654,7 +651,7 @@
         here().map(|r| r.bad_row).sum::<u32>() >= 3 && !here().any(fine)
     }
 
-    /// An outage was seen in a scope: its routes where no call sent after `since` went well come back cold.
+    /// An outage was seen: routes of its scope where no call sent after `since` went well come back cold.
     fn mark_outage(&mut self, scope: &Scope, since: f64) {
         let all = || self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice);
         let eps = scope.1.as_ref().map_or_else(all, std::slice::from_ref);
@@ -775,6 +772,10 @@
         self.stale.drain(..self.stale.len().saturating_sub(100));
         if let Some((left, limit)) = report.filter(|r| r.1 > 0.0) {
             m.left = Some((left, now));
+            // All of it is used: refused calls may use it up too, and only even parts leave room for any.
+            if left < 0.001 {
+                (m.share, self.used_up_at) = (m.share.min(2.0 * m.least), now);
+            }
             m.limits.push_back((now, limit));
             // The median of the last five reports: they are noisy.
             m.limits.drain(..m.limits.len().saturating_sub(5));
@@ -810,8 +811,9 @@
                 // The last 60: enough to tell one in twenty from one in ten.
                 self.lost.drain(..self.lost.len().saturating_sub(60));
                 r.bad_row = 0;
-                // Where the report says that room is left, the share grows fast: others use less than theirs.
-                let room = report.is_some_and(|r| r.0 >= 0.2) && now > m.full_at + 2.0;
+                // Where room is left and a whole call waits the share grows fast: others use less.
+                let waits = self.held.waiting(scope.0) >= r.batch && now > m.full_at + 2.0;
+                let room = waits && report.is_some_and(|r| r.0 >= 0.2);
                 let more = if room { 0.2 * m.share } else { 0.02 / senders };
                 (m.full_row, m.share) = (0, (m.share + more).min(m.share.max(1.0)));
                 if now >= r.short_until {
@@ -868,8 +870,7 @@
             }
         }
         let Some(r) = self.routes.get_mut(&ep) else { return false };
-        // Two in a row with nothing good since, one error where nothing good is known (senders
-        // of little traffic see no more of it), or most of five: the circuit opens.
+        // Two in a row with nothing good since, one error with nothing good known, or most of five: it opens.
         let alone = fine == 0 && outcome == Outcome::Failed;
         if ((r.bad_row >= 2 || alone) && quiet)
             || (r.samples.len() >= 5 && 2 * fine < r.samples.len())
@@ -968,8 +969,7 @@
         t.value * share * if w.over { part } else { 1.0 }
     }
 
-    /// Order of service, least first: those that can still make the target latency, dearest and soonest
-    /// first; then the late ones, the most valuable first.
+    /// Order of service, least first: those in time for their target, dearest and soonest; then late ones.
     fn rank(&self, w: &Webhook, usual: f64) -> Rank {
         let at = self.now + usual;
         (u8::from(at > w.target_at), -self.value(w, at), w.target_at)
@@ -1025,12 +1025,10 @@
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
         let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0, 1.0);
-        // An even part, 1.3 of it where routes share a limit; up to a call a second where an even part comes
-        // round once in a TTL or less: chance decides then who has something to send, and an even part holds
-        // it up. Where it comes round more often, a call a second from each would jam the limit.
+        // An even part, 1.3 where routes share a limit; up to a call a second where one comes once in a TTL
+        // or less, as chance decides then who has something to send; else that would jam the limit.
         let ttl = self.types.values().map(|t| t.ttl).fold(f64::INFINITY, f64::min);
-        let known = self.rate(r, self.meters.get(&scope));
-        let rate = if r.rate > 0.0 { r.rate } else { known }.max(0.001);
+        let rate = if r.rate > 0.0 { r.rate } else { self.rate(r, self.meters.get(&scope)) };
         let thin = (senders / (rate * ttl)).min(1.0);
         let share = (if r.apart { 1.0 } else { 1.3 } / senders).max(thin / rate);
         // Half a second: a connection in steady use is never idle for so long.
@@ -1044,10 +1042,12 @@
         let Some(r) = self.routes.get_mut(&ep) else { return };
         let batch = r.batch;
         let joined = r.calls.last_mut().filter(|c| c.at == now && !c.trial && c.webhooks.len() < batch);
-        // Where no rate is listed it starts with all of it, as nothing is known of how traffic spreads.
-        let (share, least) =
-            if r.rate > 0.0 { (share, 0.5 / senders) } else { (share.max(1.0), 0.5 * share) };
-        let m = self.meters.entry(scope).or_insert_with(|| Meter { share, least, ..Meter::default() });
+        let m = self.meters.entry(scope).or_default();
+        // Where a rate is told but not listed: all of it, unless limits were used up in the last minute.
+        if m.least <= 0.0 && rate > 0.0 {
+            let all = if now < self.used_up_at + AGE { share } else { share.max(1.0) };
+            (m.share, m.least) = if r.rate > 0.0 { (share, 0.5 / senders) } else { (all, 0.5 * share) };
+        }
         if let Some(call) = joined {
             call.webhooks.insert(id);
             // A further webhook in a call is some more work for the destination, about a quarter of a call.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -617,6 +617,26 @@
             "0 list a:z:plain:0 b:z:plain:0\n0 hand 1 idem\n0.1 end 1 a full 0 0.6:5\n0.5 pass",
             &[Has(&["0.0 send 1 a"]), Sends(0.1, 0.4, 1..=1)],
         ),
+        (
+            // Before the first report a share of 1,000 was set that no refusal ever narrowed below 500.
+            "a limit that is used up leaves each sender an even part",
+            (64, 50, 10, false),
+            "0 list a:z:plain:0\n0 hand 1 idem\n0.1 end 1 a ok 0 0:20\n1 hand 2 idem\n1 hand 3 idem\n1 hand 4 idem\n1 hand 5 idem\n1 hand 6 idem\n1 hand 7 idem\n1 hand 8 idem\n1 hand 9 idem\n2 pass",
+            &[Sends(1.0, 1.9, 1..=4)],
+        ),
+        (
+            "one with room is all of the first that wants it, until it is used up",
+            (64, 50, 10, false),
+            "0 list a:z:plain:0\n0 hand 1 idem\n0.1 end 1 a ok 0 0.5:20\n1 hand 2 idem\n1 hand 3 idem\n1 hand 4 idem\n1 hand 5 idem\n1 hand 6 idem\n1 hand 7 idem\n1 hand 8 idem\n1 hand 9 idem\n2 end 2 a ok 0 0:20\n3 hand 10 idem\n3 hand 11 idem\n3 hand 12 idem\n3 hand 13 idem\n3 hand 14 idem\n3 hand 15 idem\n3 hand 16 idem\n3 hand 17 idem\n4 pass",
+            &[Sends(1.0, 1.0, 8..=8), Sends(3.0, 3.9, 0..=4)],
+        ),
+        (
+            // 290 senders that came again after 0.2 to 1.6 s kept a limit full by their refused calls alone.
+            "at a used-up limit many senders come again in their turn",
+            many,
+            "0 list a:z:plain:0\n0 hand 1 idem\n0.1 end 1 a full 0 0:5\n9 pass",
+            &[Sends(0.1, 1.1, 0..=0)],
+        ),
     ]);
 }
 
