A route without any rate is not paced by the share of one beside it that has one

Cause: Logic::pace_end asked for a set share (m.least) alone; a route listed without a rate shares its meter with one that has a rate, and was paced to a call a second. Change: a pace needs both, rate and share. The platform's stand-in in the tests also answers a watch whose wait is over, as the protocol says. Ruled out: load, the list clock.

--- a/crates/sender/tests/helpers/mod.rs
+++ b/crates/sender/tests/helpers/mod.rs
@@ -164,12 +164,14 @@
                 });
             }
             let mut body = whole.clone();
-            if heard.head.starts_with("GET /v1/endpoints?since=") {
-                let mut waiting = held.0.lock().unwrap();
-                while waiting.is_empty() {
-                    waiting = held.1.wait(waiting).unwrap();
-                }
-                body = waiting.remove(0);
+            if let Some(watch) = heard.head.strip_prefix("GET /v1/endpoints?since=") {
+                let number = |from: &str| from.split(|c: char| !c.is_ascii_digit()).next().unwrap().parse();
+                let since: u64 = number(watch).unwrap();
+                let wait: u64 = number(watch.split_once("timeout_ms=").unwrap().1).unwrap();
+                let (waiting, wait) = (held.0.lock().unwrap(), Duration::from_millis(wait));
+                let mut waiting = held.1.wait_timeout_while(waiting, wait, |w| w.is_empty()).unwrap().0;
+                // With nothing to tell it is answered when its wait is over.
+                body = if waiting.is_empty() { list(since, false, &[]) } else { waiting.remove(0) };
             }
             Deed::Tell(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
         });
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -550,7 +550,7 @@
         // Whole calls in about a second, the shortest span that limits here come in.
         let most = mine.ceil();
         let oldest = m.sent.len().checked_sub(most as usize).and_then(|i| m.sent.get(i));
-        let spent = oldest.filter(|_| m.least > 0.0).map_or(0.0, |at| at + most / mine);
+        let spent = oldest.filter(|_| rate.min(m.least) > 0.0).map_or(0.0, |at| at + most / mine);
         m.wait_until.max(empty).max(cold).max(spent)
     }
 
