--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -627,7 +627,7 @@
         (
             "one with room is all of the first that wants it, until it is used up",
             (64, 50, 10, false),
-            "0 list a:z:plain:0\n0 hand 1 idem\n0.1 end 1 a ok 0 0.5:20\n1 hand 2 idem\n1 hand 3 idem\n1 hand 4 idem\n1 hand 5 idem\n1 hand 6 idem\n1 hand 7 idem\n1 hand 8 idem\n1 hand 9 idem\n2 end 2 a ok 0 0:20\n3 hand 10 idem\n3 hand 11 idem\n3 hand 12 idem\n3 hand 13 idem\n3 hand 14 idem\n3 hand 15 idem\n3 hand 16 idem\n3 hand 17 idem\n4 pass",
+            "0 list a:z:plain:0\n0 hand 1 idem\n0.1 end 1 a ok 0 0.5:20\n1 hand 2 idem\n1 hand 3 idem\n1 hand 4 idem\n1 hand 5 idem\n1 hand 6 idem\n1 hand 7 idem\n1 hand 8 idem\n1 hand 9 idem\n2 end 2 a ok 0 0:20\n2 end 3 a ok 0 0:20\n2 end 4 a ok 0 0:20\n2 end 5 a ok 0 0:20\n2 end 6 a ok 0 0:20\n2 end 7 a ok 0 0:20\n2 end 8 a ok 0 0:20\n2 end 9 a ok 0 0:20\n3 hand 10 idem\n3 hand 11 idem\n3 hand 12 idem\n3 hand 13 idem\n3 hand 14 idem\n3 hand 15 idem\n3 hand 16 idem\n3 hand 17 idem\n4 pass",
             &[Sends(1.0, 1.0, 8..=8), Sends(3.0, 3.9, 0..=4)],
         ),
         (
