--- /dev/null
+++ b/crates/sender/src/http/tests.rs
@@ -0,0 +1,152 @@
+
+use super::*;
+
+/// The first line and one field, as text.
+#[derive(Debug)]
+struct Seen(String);
+
+impl Head for Seen {
+    fn decode(start: &Start, fields: &Fields) -> Self {
+        let line = match start {
+            Start::Request { method, target } => format!("{method} {target}"),
+            Start::Answer { status } => status.to_string(),
+        };
+        Seen(format!("{line} {}", fields.get("x-a").unwrap_or("-")))
+    }
+}
+
+/// All that comes out of `bytes`, fed in pieces of `step`.
+fn read(answers: bool, bytes: &[u8], step: usize) -> Vec<String> {
+    let mut decoder =
+        if answers { Decoder::<Seen>::answers(MOST_BODY) } else { Decoder::requests(MOST_BODY) };
+    let mut out = Vec::new();
+    for piece in bytes.chunks(step) {
+        decoder.feed(piece);
+        loop {
+            match decoder.message() {
+                Ok(Some(m)) => {
+                    let body = String::from_utf8_lossy(&m.body).into_owned();
+                    out.push(format!("{} [{body}] {}", m.head.0, if m.keep { "keep" } else { "close" }));
+                }
+                Ok(None) => break,
+                Err(fault) => {
+                    out.push(format!("{fault:?}"));
+                    return out;
+                }
+            }
+        }
+    }
+    out.extend(decoder.ended().map(|m| format!("{} [{}] ended", m.head.0, m.body.len())));
+    out
+}
+
+#[test]
+fn messages_come_out_the_same_however_their_bytes_come_in() {
+    let get = "GET /r HTTP/1.1\r\n";
+    let ok = "HTTP/1.1 200 OK\r\n";
+    let cases: [(bool, String, &[&str]); 36] = [
+        (false, format!("{get}\r\n"), &["GET /r - [] keep"]),
+        (false, format!("\r\n{get}X-A: b \r\n\r\n"), &["GET /r b [] keep"]),
+        (false, format!("{get}Connection: x, Close\r\n\r\n"), &["GET /r - [] close"]),
+        (false, "GET /r HTTP/1.0\r\n\r\n".into(), &["GET /r - [] close"]),
+        (false, "GET /r HTTP/1.0\r\nconnection: keep-alive\r\n\r\n".into(), &["GET /r - [] keep"]),
+        (
+            false,
+            format!("POST /p HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc{get}\r\n"),
+            &["POST /p - [abc] keep", "GET /r - [] keep"],
+        ),
+        (
+            false,
+            format!(
+                "{get}Transfer-Encoding: Chunked\r\n\r\n3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nT: u\r\n\r\n{get}\r\n"
+            ),
+            &["GET /r - [abcd] keep", "GET /r - [] keep"],
+        ),
+        (false, format!("{get}Transfer-Encoding: chunked\r\n\r\n3\r\nabcd"), &["Malformed"]),
+        (false, format!("{get}Transfer-Encoding: chunked\r\n\r\nxyz\r\n"), &["Malformed"]),
+        (false, format!("{get}Transfer-Encoding: gzip, chunked\r\n\r\n"), &["UnknownCoding"]),
+        (false, format!("{get}Content-Length: 1\r\nContent-Length: 1\r\n\r\n"), &["Malformed"]),
+        (false, format!("{get}Content-Length: 1, 1\r\n\r\n"), &["Malformed"]),
+        (false, format!("{get}Content-Length: 65537\r\n\r\n"), &["BodyTooBig"]),
+        (false, "\u{1}\u{2}\r\n\r\n".into(), &["Malformed"]),
+        (false, format!("{get}X-A: {}\r\n\r\n", "b".repeat(MOST_HEAD)), &["HeadTooBig"]),
+        (true, format!("{ok}Content-Length: 2\r\n\r\nhi"), &["200 - [hi] keep"]),
+        (true, format!("{ok}\r\nhi"), &["200 - [2] ended"]),
+        (
+            true,
+            "HTTP/1.1 204 No\r\n\r\nHTTP/1.1 503 No\r\nX-A: 1\r\nContent-Length: 0\r\n\r\n".into(),
+            &["204 - [] keep", "503 1 [] keep"],
+        ),
+        (
+            true,
+            format!("HTTP/1.1 103 Hints\r\nX-A: 1\r\n\r\n{ok}Content-Length: 0\r\n\r\n"),
+            &["200 - [] keep"],
+        ),
+        (true, format!("{ok}Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"), &["200 - [a] keep"]),
+        (true, format!("{ok}Content-Length: 5\r\n\r\nhi"), &[]),
+        (true, "SSH-2.0-x\r\n\r\n".into(), &["Malformed"]),
+        // Spoilt: noise, heads that cannot be read or never end, lengths that do not fit, a body without end.
+        (true, "\u{7f}\u{3}x".into(), &["Malformed"]),
+        (true, format!("{ok}\u{1}: 2\r\n\r\n"), &["Malformed"]),
+        (true, format!("{ok}X-A\r\n\r\n"), &["Malformed"]),
+        (true, format!("{ok}{}", "X-A: b\r\n".repeat(MOST_HEAD / 8 + 1)), &["HeadTooBig"]),
+        (true, format!("{ok}X-A: {}", "b".repeat(MOST_HEAD)), &["HeadTooBig"]),
+        (true, format!("{ok}Content-Length: 1\r\n\r\nhi"), &["200 - [h] keep", "Malformed"]),
+        (true, format!("{ok}Content-Length: -2\r\n\r\nhi"), &["Malformed"]),
+        (true, format!("{ok}Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi"), &["Malformed"]),
+        (true, format!("{ok}Content-Length: 3221225472\r\n\r\nhi"), &["BodyTooBig"]),
+        (true, format!("{ok}\r\n{}", "x".repeat(MOST_BODY + 1)), &["BodyTooBig"]),
+        (true, format!("{ok}Transfer-Encoding: chunked\r\n\r\nC0000000\r\nhi"), &["BodyTooBig"]),
+        // Good, with more than belongs to them.
+        (true, format!("{ok}Content-Length: 0\r\n\r\n").repeat(2), &["200 - [] keep", "200 - [] keep"]),
+        (true, format!("{ok}Content-Length: 0\r\n\r\n\u{7f}"), &["200 - [] keep", "Malformed"]),
+        (
+            true,
+            format!("HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 102 On\r\nX-A: 1\r\n\r\n{ok}Content-Length: 1\r\n\r\na"),
+            &["200 - [a] keep"],
+        ),
+    ];
+    for (answers, bytes, wanted) in cases {
+        for step in [1, 2, 7, usize::MAX] {
+            let name = &bytes[..bytes.len().min(90)];
+            assert_eq!(read(answers, bytes.as_bytes(), step), wanted, "in pieces of {step}: {name:?}");
+        }
+    }
+}
+
+#[test]
+fn the_first_line_of_an_unfinished_answer_tells_its_status() {
+    for (bytes, status) in [
+        ("", None),
+        ("HTTP/1.1 20", None),
+        ("HTTP/1.1 200 OK", None),
+        ("HTTP/1.1 200 OK\r\n", Some(200)),
+        ("HTTP/1.1 503 No\r\nRetry-Af", Some(503)),
+        ("garbage", None),
+    ] {
+        let mut decoder = Decoder::<Seen>::answers(MOST_BODY);
+        decoder.feed(bytes.as_bytes());
+        assert_eq!(decoder.first_line(), status, "{bytes:?}");
+    }
+}
+
+#[test]
+fn times_need_a_number_and_a_unit() {
+    for (text, time) in [
+        ("480m", Some(0.48)),
+        ("1500u", Some(0.0015)),
+        ("0.5m", Some(0.0005)),
+        ("", None),
+        ("m", None),
+        ("5", None),
+        ("5s", None),
+        ("-5m", None),
+        ("1e3m", None),
+        ("nanm", None),
+        ("infm", None),
+        ("9999999999999999m", None),
+        ("5é", None),
+    ] {
+        assert_eq!(decode_time(text), time, "{text}");
+    }
+}
--- /dev/null
+++ b/crates/sender/src/list/tests.rs
@@ -0,0 +1,69 @@
+
+use super::*;
+
+fn answer(status: u16, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+fn news(seq: u64, whole: bool) -> Vec<u8> {
+    answer(200, &format!("{{\"seq\":{seq},\"whole\":{whole},\"hosts\":[]}}"))
+}
+
+/// What a silent watch misses counts as told after 6 s where lists are pushed, else 2 s after its wait.
+#[test]
+fn a_silent_call_is_found_inside_its_clock() {
+    let host = SocketAddr::from(([127, 0, 0, 1], 80));
+    for (asked, wait, clock) in [(false, 2.0, 6.0), (true, 20.0, 22.0)] {
+        let mut list = List::known(7, asked);
+        let (call, patience) = list.call(&host);
+        assert!(String::from_utf8(call).unwrap().contains(&format!("since=7&timeout_ms={}", wait * 1e3)));
+        // It goes on over a new connection at once, and that one's answer may be lost too.
+        assert!(wait < patience && patience < clock - 0.5, "{patience} s for a clock of {clock} s");
+        assert!(list.broken() && !list.broken(), "a second silence leads to the whole list");
+        assert!(!asked || list.call(&host).1 <= 1.0);
+        assert!(asked || list.call(&host).1 < 0.5, "an agent is asked again before a drain has to be kept");
+    }
+}
+
+/// 100 senders that start together and ask for whole lists, each refusal answered with another such call at once,
+/// kept the list service refusing for as long as they lived.
+#[test]
+fn what_is_asked_for_next() {
+    let cases = [
+        ("at the start, what changed since the version already known", vec![], None, Some(7)),
+        ("after an answer, from its version", vec![news(9, false)], Some(Ok(9)), Some(9)),
+        (
+            "after a refusal, from the version known, and not at once",
+            vec![answer(503, "")],
+            Some(Err(NoList::Refused)),
+            Some(7),
+        ),
+        (
+            "the same for the other refusal",
+            vec![news(8, true), answer(429, "later")],
+            Some(Err(NoList::Refused)),
+            Some(8),
+        ),
+        ("after garbage, the whole list", vec![answer(200, "{")], Some(Err(NoList::Garbage)), None),
+        ("the same after an error", vec![answer(500, "")], Some(Err(NoList::Garbage)), None),
+        ("and where versions are counted anew", vec![news(3, false)], Some(Err(NoList::Garbage)), None),
+        ("but a whole list may be of any version", vec![news(3, true)], Some(Ok(3)), Some(3)),
+    ];
+    for (name, answers, last, since) in cases {
+        let mut list = List::known(7, true);
+        let mut heard = None;
+        for a in answers {
+            heard = Some(list.feed(&a).map(|got| got.unwrap().0.seq));
+        }
+        assert_eq!(heard, last, "{name}");
+        match last {
+            Some(Err(NoList::Refused)) => list.refused(),
+            // The first time it goes on over a new connection, the second time nothing is taken for known.
+            Some(Err(NoList::Garbage)) => {
+                assert_eq!((list.broken(), list.broken()), (true, false), "{name}")
+            }
+            _ => {}
+        }
+        assert_eq!(list.version(), since, "{name}");
+    }
+}
