After a failed call the list is asked for again within one clock of 6 s

Cause: where lists are asked for, calls after a failed or refused one paused up to 35 s (Logic::list, 3.5 times ask-within), a watch opened again after a failure was held for 20 s, and each SIGHUP put the next call off by a turn of up to 5 s (set_list). Change: List counts calls that failed; the next one waits 0.1 s for news, so it is given up after 1.1 s (0.5 s where lists are pushed). The longest pause follows from the clock: 6 s less 0.5 s for the way less twice the patience with a call, 3.3 s; the module takes it as a setting (the wire's is four times ask-within, as before). A call that is due stays due at SIGHUP.

--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration that the platform hands a sender, checked, and handed on to the decision module.
 
-use crate::list::News;
+use crate::list::{self, News};
 use scalebarrow::{Effect, Sender};
 use serde::{Deserialize, Deserializer, de::Error};
 use std::collections::BTreeSet;
@@ -288,7 +288,7 @@
             sender.set_come_back(seconds(s.caps.max_retry_after_ms, 0.0));
         }
         sender.set_idle(seconds(s.caps.conn_idle_ms, UNBOUND));
-        sender.set_list(self.asks(), seconds(s.rules.ask_within_ms, 10.0));
+        sender.set_list(self.asks(), seconds(s.rules.ask_within_ms, 10.0), list::LONGEST_PAUSE);
         let (from, warm) = (s.rules.cold_from.unwrap_or(1.0), seconds(s.rules.cold_ms, 0.0));
         sender.set_cold(from, warm, s.rules.fall_multiple.unwrap_or(1e9));
         sender.set_key_rest(seconds(s.rules.key_rest_ms, 0.0));
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -4,12 +4,17 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 
+/// After a call that failed, was refused or was given up, a change counts as told so long after discovery had it and
+/// could be reached.
+pub const CLOCK: f64 = 6.0;
 /// How long a watch may be held that has nothing to tell. Where lists are pushed, the agent beside the sender answers at
 /// no cost, and what it has counts as told whether or not a watch stands: one that has fallen silent is found soon. Where
-/// they are asked for, each call costs the platform, and what a silent one misses counts only when its wait is over: a
+/// they are asked for, each call costs the platform, and what a silent one misses counts 2 s after its wait is over: a
 /// third of what the platform allows.
 const PUSHED_MS: u64 = 2_000;
 const ASKED_MS: u64 = 20_000;
+/// The same after a call that failed: what was missed is told at once, so who has nothing to tell says that at once, too.
+const AGAIN_MS: u64 = 100;
 /// A list of ten thousand endpoints takes about 2 MB.
 const MOST_LIST: usize = 4 * 1024 * 1024;
 /// An answer that is due comes at once; who has said nothing for so long is silent. Asked again with the pause between
@@ -17,6 +22,12 @@
 /// which sends to an endpoint that drains have to stop. A platform that is asked may have a queue.
 const PUSHED_PATIENCE: f64 = 0.4;
 const ASKED_PATIENCE: f64 = 1.0;
+/// Half a second is left for the way and for connections that have to come up.
+const ON_THE_WAY: f64 = 0.5;
+
+/// The longest pause between two calls where lists are asked for. At worst discovery can be reached again just after a
+/// call went out: that one is given up, the pause passes, and the next one is answered as late as may be.
+pub const LONGEST_PAUSE: f64 = CLOCK - ON_THE_WAY - 2.0 * (AGAIN_MS as f64 / 1e3 + ASKED_PATIENCE);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
@@ -65,8 +76,8 @@
 pub struct List {
     decoder: Decoder<Status>,
     seq: Option<u64>,
-    /// A standing watch whose connection ended goes on over another one, once.
-    renewed: bool,
+    /// Calls that brought no list since the last that did. A watch whose connection ended goes on over another one, once.
+    failed: u32,
     /// Lists have to be asked for; otherwise an agent is sent them.
     asked: bool,
 }
@@ -75,7 +86,7 @@
     /// The list is known in this version. To ask for changes alone costs the platform little; whole lists for all
     /// senders that start together keep it busy for so long that all of them are refused.
     pub fn known(seq: u64, asked: bool) -> Self {
-        List { decoder: Decoder::answers(MOST_LIST), seq: Some(seq), renewed: false, asked }
+        List { decoder: Decoder::answers(MOST_LIST), seq: Some(seq), failed: 0, asked }
     }
 
     /// From which version changes are asked for; none where the whole list is.
@@ -87,6 +98,7 @@
     pub fn call(&self, host: &SocketAddr) -> (Vec<u8>, f64) {
         let (wait, patience) =
             if self.asked { (ASKED_MS, ASKED_PATIENCE) } else { (PUSHED_MS, PUSHED_PATIENCE) };
+        let wait = if self.failed > 0 { AGAIN_MS } else { wait };
         let (query, patience) = match self.seq {
             None => (String::new(), patience),
             Some(seq) => (format!("?since={seq}&timeout_ms={wait}"), wait as f64 / 1e3 + patience),
@@ -109,29 +121,28 @@
         if !news.whole && self.seq.is_some_and(|known| news.seq < known) {
             return Err(NoList::Garbage);
         }
-        (self.seq, self.renewed) = (Some(news.seq), false);
+        (self.seq, self.failed) = (Some(news.seq), 0);
         Ok(Some((news, answer.keep && self.decoder.is_clear())))
     }
 
     /// The platform is reached at another address: the whole list is asked for there.
     pub fn moved(&mut self) {
-        (self.decoder, self.seq, self.renewed) = (Decoder::answers(MOST_LIST), None, false);
+        (self.decoder, self.seq, self.failed) = (Decoder::answers(MOST_LIST), None, 0);
     }
 
     /// The platform refused, and the connection is gone. What is known stays known: the next call asks for what
     /// changed since, and not before it is due. At once, and for the whole list, would keep the platform busy.
     pub fn refused(&mut self) {
-        (self.decoder, self.renewed) = (Decoder::answers(MOST_LIST), false);
+        (self.decoder, self.failed) = (Decoder::answers(MOST_LIST), self.failed + 1);
     }
 
     /// The connection is gone. True where the watch goes on over a new one at once.
     pub fn broken(&mut self) -> bool {
-        self.decoder = Decoder::answers(MOST_LIST);
-        let goes_on = self.seq.is_some() && !self.renewed;
-        self.renewed = true;
+        let goes_on = self.seq.is_some() && self.failed == 0;
+        (self.decoder, self.failed) = (Decoder::answers(MOST_LIST), self.failed + 1);
         if !goes_on {
             // Where nothing is known of what the platform counts as told, the whole list is asked for.
-            (self.seq, self.renewed) = (None, false);
+            self.seq = None;
         }
         goes_on
     }
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -82,7 +82,9 @@
     }
     sender.set_idle(seconds(caps, "conn-idle-ms", f64::MAX.sqrt())?);
     let ask = text_if(EVENT, facts, "membership-mode")? == Some("ask");
-    sender.set_list(ask, seconds(rules, "ask-within-ms", 10.0)?);
+    // The wire allows four times as long after a call that failed.
+    let within = seconds(rules, "ask-within-ms", 10.0)?;
+    sender.set_list(ask, within, 4.0 * within);
     let multiple = number_if(EVENT, rules, "fall-multiple", 1e9)?;
     let (from, warm) = (number_if(EVENT, rules, "cold-from", 1.0)?, seconds(rules, "cold-ms", 0.0)?);
     sender.set_cold(from, warm, multiple);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -140,9 +140,10 @@
         self.0.come_back = longest;
     }
 
-    /// Whether the list has to be asked for, and how long a sender may go without asking.
-    pub fn set_list(&mut self, ask: bool, within: f64) {
-        self.0.set_list(ask, within);
+    /// Whether the list has to be asked for, how long a sender may go without asking, and how long it may pause after
+    /// a call that failed. The first call has a turn; one that is due stays due when this is told again.
+    pub fn set_list(&mut self, ask: bool, within: f64, pause: f64) {
+        self.0.set_list(ask, within, pause);
     }
 
     /// A destination back from an outage has `from` of its capacity, all of it after `warm` seconds, and
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -109,9 +109,10 @@
         logic
     }
 
-    pub fn set_list(&mut self, ask: bool, within: f64) {
-        (self.watch.ask, self.watch.within) = (ask, within);
-        self.watch.ask_at += if ask { self.list_turn() } else { 0.0 };
+    pub fn set_list(&mut self, ask: bool, within: f64, pause: f64) {
+        let first = ask && !std::mem::replace(&mut self.watch.ask, ask);
+        (self.watch.within, self.watch.pause) = (within, pause);
+        self.watch.ask_at += if first { self.list_turn() } else { 0.0 };
     }
 
     /// Marsaglia's multiply-with-carry, 32 bits; the multiplier is one that he lists.
@@ -214,9 +215,10 @@
                 // This does not say whether the watch stands: it is asked for again, less often each time.
                 self.watch.watching = false;
                 self.watch.refusals += 1;
-                // After a failed call the allowed time is four times as long.
-                let step = (0.4 * f64::from(1 << self.watch.refusals.min(6))).min(2.0 * self.watch.within);
-                self.watch.ask_at = now + step * (0.5 + self.chance()) + self.list_turn();
+                // Three quarters and a quarter of the longest pause at most.
+                let step = (0.4 * f64::from(1 << self.watch.refusals.min(6))).min(self.watch.pause / 2.0);
+                let turn = self.list_turn().min(self.watch.pause / 4.0);
+                self.watch.ask_at = now + step * (0.5 + self.chance()) + turn;
                 return;
             }
             ListMode::Remembered => {}
@@ -417,7 +419,7 @@
             return false;
         };
         let waits = self.meters.get(&Self::scope(ep, r)).is_some_and(|m| now < m.wait_until);
-        r.ready && !w.ended && !waits && now < self.repeat_until(w)
+        r.ready && !w.ended && !waits && now + r.slow <= self.closes_at && now < self.repeat_until(w)
     }
 
     /// When it is a webhook's turn among those of its key, as far as time alone decides it.
@@ -654,8 +656,7 @@
     /// An outage was seen: routes of its scope where no call sent after `since` went well come back cold.
     fn mark_outage(&mut self, scope: &Scope, since: f64) {
         let all = || self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice);
-        let eps = scope.1.as_ref().map_or_else(all, std::slice::from_ref);
-        for ep in eps {
+        for ep in scope.1.as_ref().map_or_else(all, std::slice::from_ref) {
             if let Some(r) = self.routes.get_mut(ep)
                 && !r.samples.iter().any(|s| s.good && s.at - s.took >= since)
             {
@@ -1040,8 +1041,7 @@
         }
         out.attempt(id, &ep, stop_at);
         let Some(r) = self.routes.get_mut(&ep) else { return };
-        let batch = r.batch;
-        let joined = r.calls.last_mut().filter(|c| c.at == now && !c.trial && c.webhooks.len() < batch);
+        let joined = r.calls.last_mut().filter(|c| c.at == now && !c.trial && c.webhooks.len() < r.batch);
         let m = self.meters.entry(scope).or_default();
         // Where a rate is told but not listed: all of it, unless limits were used up in the last minute.
         if m.least <= 0.0 && rate > 0.0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -127,9 +127,10 @@
 /// How the list is followed.
 #[derive(Default)]
 pub(crate) struct Watch {
-    /// It has to be asked for, and within which time.
+    /// It has to be asked for, within which time, and after which pause at most once a call has failed.
     pub ask: bool,
     pub within: f64,
+    pub pause: f64,
     pub watching: bool,
     pub ask_at: f64,
     pub refusals: u32,
