A list call after a failed one is waited for as long as the platform's queue may take

Cause: the platform answers within 2 s or refuses; who gives up after 1 s comes again and keeps its queue full. Both ways the sum of the clock is 5.5 s (list/tests.rs).

--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -22,12 +22,15 @@
 /// which sends to an endpoint that drains have to stop. A platform that is asked may have a queue.
 const PUSHED_PATIENCE: f64 = 0.4;
 const ASKED_PATIENCE: f64 = 1.0;
+/// The platform's queue takes 2 s at most, or it refuses: a call for changes that is given up earlier was for nothing, and
+/// all that do so after an outage keep the queue full.
+const AGAIN_PATIENCE: f64 = 2.0;
 /// Half a second is left for the way and for connections that have to come up.
 const ON_THE_WAY: f64 = 0.5;
 
 /// The longest pause between two calls where lists are asked for. At worst discovery can be reached again just after a
 /// call went out: that one is given up, the pause passes, and the next one is answered as late as may be.
-pub const LONGEST_PAUSE: f64 = CLOCK - ON_THE_WAY - 2.0 * (AGAIN_MS as f64 / 1e3 + ASKED_PATIENCE);
+pub const LONGEST_PAUSE: f64 = CLOCK - ON_THE_WAY - 2.0 * (AGAIN_MS as f64 / 1e3 + AGAIN_PATIENCE);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
@@ -98,7 +101,9 @@
     pub fn call(&self, host: &SocketAddr) -> (Vec<u8>, f64) {
         let (wait, patience) =
             if self.asked { (ASKED_MS, ASKED_PATIENCE) } else { (PUSHED_MS, PUSHED_PATIENCE) };
+        let again = self.failed > 0 && self.asked && self.seq.is_some();
         let wait = if self.failed > 0 { AGAIN_MS } else { wait };
+        let patience = if again { AGAIN_PATIENCE } else { patience };
         let (query, patience) = match self.seq {
             None => (String::new(), patience),
             Some(seq) => (format!("?since={seq}&timeout_ms={wait}"), wait as f64 / 1e3 + patience),
