--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -21,7 +21,7 @@
 /// two tries, an agent that was silent in an outage tells what it has before half a second of it has passed, the time in
 /// which sends to an endpoint that drains have to stop. A platform that is asked may have a queue.
 const PUSHED_PATIENCE: f64 = 0.4;
-const ASKED_PATIENCE: f64 = 1.0;
+const ASKED_PATIENCE: f64 = 0.9;
 /// The platform's queue takes 2 s at most, or it refuses: a call for changes that is given up earlier was for nothing, and
 /// all that do so after an outage keep the queue full.
 const AGAIN_PATIENCE: f64 = 2.0;
@@ -81,6 +81,8 @@
     seq: Option<u64>,
     /// Calls that brought no list since the last that did. A watch whose connection ended goes on over another one, once.
     failed: u32,
+    /// The last that failed was a watch.
+    fell_silent: bool,
     /// Lists have to be asked for; otherwise an agent is sent them.
     asked: bool,
 }
@@ -89,7 +91,7 @@
     /// The list is known in this version. To ask for changes alone costs the platform little; whole lists for all
     /// senders that start together keep it busy for so long that all of them are refused.
     pub fn known(seq: u64, asked: bool) -> Self {
-        List { decoder: Decoder::answers(MOST_LIST), seq: Some(seq), failed: 0, asked }
+        List { decoder: Decoder::answers(MOST_LIST), seq: Some(seq), failed: 0, fell_silent: false, asked }
     }
 
     /// From which version changes are asked for; none where the whole list is.
@@ -101,7 +103,8 @@
     pub fn call(&self, host: &SocketAddr) -> (Vec<u8>, f64) {
         let (wait, patience) =
             if self.asked { (ASKED_MS, ASKED_PATIENCE) } else { (PUSHED_MS, PUSHED_PATIENCE) };
-        let again = self.failed > 0 && self.asked && self.seq.is_some();
+        // Right after a watch that fell silent there is no time to wait for a queue: its clock runs 2 s past its wait.
+        let again = self.failed > 0 && self.asked && self.seq.is_some() && !self.fell_silent;
         let wait = if self.failed > 0 { AGAIN_MS } else { wait };
         let patience = if again { AGAIN_PATIENCE } else { patience };
         let (query, patience) = match self.seq {
@@ -138,12 +141,13 @@
     /// The platform refused, and the connection is gone. What is known stays known: the next call asks for what
     /// changed since, and not before it is due. At once, and for the whole list, would keep the platform busy.
     pub fn refused(&mut self) {
-        (self.decoder, self.failed) = (Decoder::answers(MOST_LIST), self.failed + 1);
+        (self.decoder, self.failed, self.fell_silent) = (Decoder::answers(MOST_LIST), self.failed + 1, false);
     }
 
     /// The connection is gone. True where the watch goes on over a new one at once.
     pub fn broken(&mut self) -> bool {
         let goes_on = self.seq.is_some() && self.failed == 0;
+        self.fell_silent = goes_on;
         (self.decoder, self.failed) = (Decoder::answers(MOST_LIST), self.failed + 1);
         if !goes_on {
             // Where nothing is known of what the platform counts as told, the whole list is asked for.
