--- a/crates/sender/src/list/tests.rs
+++ b/crates/sender/src/list/tests.rs
@@ -67,6 +67,9 @@
     }
 }
 
+/// Crowds that are refused have to spread.
+const _: () = assert!(LONGEST_PAUSE >= 1.0);
+
 /// The worst case as a sum: the call that was out when discovery could be reached again, the pause, the next call.
 #[test]
 fn a_change_after_a_failed_call_is_told_inside_one_clock() {
@@ -92,5 +95,4 @@
         let (sum, clock) = (watch + list.call(&host).1, if asked { 22.0 } else { CLOCK - 0.5 });
         assert!(sum <= clock + 1e-9, "{sum} s for a silent watch");
     }
-    assert!(LONGEST_PAUSE >= 1.0, "{LONGEST_PAUSE} s: crowds that are refused have to spread");
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -217,8 +217,8 @@
                 self.watch.refusals += 1;
                 // Three quarters and a quarter of the longest pause at most.
                 let step = (0.4 * f64::from(1 << self.watch.refusals.min(6))).min(self.watch.pause / 2.0);
-                let turn = self.list_turn().min(self.watch.pause / 4.0);
-                self.watch.ask_at = now + step * (0.5 + self.chance()) + turn;
+                let wait = step * (0.5 + self.chance());
+                self.watch.ask_at = now + wait + self.list_turn().min(self.watch.pause / 4.0);
                 return;
             }
             ListMode::Remembered => {}
