--- a/crates/sender/tests/program/crossings.rs
+++ b/crates/sender/tests/program/crossings.rs
@@ -112,6 +112,74 @@
     }
 }
 
+#[test]
+fn a_call_that_could_not_be_back_before_the_end_waits_for_the_next_life() {
+    let longer = (r#""connect-timeout-ms":1000.0"#, r#""connect-timeout-ms":9000.0"#);
+    let at = address();
+    let endpoint = Manual::narrow(at);
+    let known = list(1, true, &[host("a", at, "plain", "SERVING")]);
+    let platform = Platform::start(known.clone(), 0);
+    let mut program = Program::start(&platform, &known, &[longer]);
+    let mut ledger = Ledger::default();
+    let filler = TcpStream::connect(at).unwrap();
+    let accepted = endpoint.accept();
+    let second = TcpStream::connect(at).unwrap();
+    ledger.taken(&program, "once", "once-x", 8000);
+    program.logged("code=\"connecting\"", 1);
+    // The end comes after 3.3 s, and as nothing is known of the endpoint a call is given 0.6 s.
+    program.signal("TERM");
+    sleep(ms(2850));
+    drop((endpoint.accept(), filler, accepted, second));
+    assert!(program.wait().success());
+    drop(endpoint.accept());
+    program.restart();
+    let mut line = endpoint.accept();
+    ledger.heard(&mut line);
+    line.write_all(OK.as_bytes()).unwrap();
+    ledger.good("once-x");
+    ledger.check(&platform);
+}
+
+#[test]
+fn a_hang_up_in_a_pause_asks_the_new_platform_at_once() {
+    // Of a hundred senders, after some refusals: a turn of seconds, and pauses that grow.
+    const REFUSED: &str = "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n";
+    let (old, new) = (Endpoint::start(|_, _| Deed::Say(REFUSED)), Endpoint::start(|_, _| Deed::Silence));
+    let known = list(1, true, &[host("a", address(), "plain", "SERVING")]);
+    let platform = Platform::start(known.clone(), 0);
+    let (from, to) = (platform.at.to_string(), old.at.to_string());
+    let ask = ("\"membership-mode\":\"push\"", "\"membership-mode\":\"ask\"");
+    let many = ("\"instances\":1", "\"instances\":100");
+    let program = Program::start(&platform, &known, &[(&from, &to), ask, many]);
+    for _ in 0..3 {
+        old.call();
+    }
+    let since = Instant::now();
+    program.reconfigure(&to, &new.at.to_string());
+    assert!(new.call().head.starts_with("GET /v1/endpoints"));
+    assert!(since.elapsed() < ms(500), "{:?}", since.elapsed());
+}
+
+#[test]
+fn fewer_descriptors_than_were_told_are_shared_out_as_well() {
+    let endpoint = Endpoint::start(|_, _| Deed::Say(OK));
+    let known = list(1, true, &[host("a", endpoint.at, "plain", "SERVING")]);
+    let platform = Platform::start(known.clone(), 0);
+    let mut program = Program::start(&platform, &known, &[]);
+    std::fs::write(program.folder.join("descriptors"), "40").unwrap();
+    program.restart();
+    let mut idle = Vec::new();
+    for n in 0..60 {
+        let mut client = program.connect();
+        client.write_all(&hand_in("idem", &format!("w{n}"), 8000, b"")).unwrap();
+        assert_eq!(hear(&mut client).unwrap().status(), 202, "{n}");
+        assert_eq!(endpoint.call().id(), format!("w{n}"));
+        idle.push(client);
+    }
+    let log = std::fs::read_to_string(program.folder.join("log")).unwrap();
+    assert!(!log.contains("code=\"accept\"") && !log.contains("code=\"connect\""), "{log}");
+}
+
 #[test]
 fn an_endpoint_that_ends_the_connection_as_it_is_used() {
     // What comes in one turn with the next request, whether the call is on its way then, and whether it goes again.
--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -225,7 +225,11 @@
 fn command(folder: &Path, sub: &str) -> Command {
     // Another build of the program can be set against the same tests.
     let built = || env!("CARGO_BIN_EXE_scalebarrow").into();
-    let mut command = Command::new(std::env::var_os("SCALEBARROW").unwrap_or_else(built));
+    let program = std::env::var_os("SCALEBARROW").unwrap_or_else(built);
+    // A file beside its state says how many descriptors the system allows it.
+    let mut command = Command::new("sh");
+    let limit = folder.join("descriptors");
+    command.args(["-c", r#"[ ! -f "$0" ] || ulimit -n "$(cat "$0")"; exec "$@""#]).arg(limit).arg(program);
     command.arg(sub).env("LB_CONFIG", folder.join("config.json")).env("LB_STATE", folder.join("state"));
     command
 }
