A test waits for the end of a connection before it sends what has to cross it

Seen: 2 of 20 runs of all crossings, two at a time, failed clients_and_the_signal_to_end: the request came before its connection was shut and was answered, as it should be. The test looks for the end first (peek).

--- a/crates/sender/tests/program/crossings.rs
+++ b/crates/sender/tests/program/crossings.rs
@@ -249,7 +249,9 @@
         unread.write_all(&request("once-c")).unwrap();
     });
     program.logged("code=\"closing\"", 1);
-    // One that crosses the end of its connection is not taken on, and no reset comes: it lingers for half a second.
+    // One that crosses the end of its connection is not taken on, and no reset comes: it lingers for half a second. Its
+    // end is there once a look finds it; a request before that would be answered.
+    assert_eq!(rests.peek(&mut [0]).unwrap(), 0);
     rests.write_all(&request("once-e")).unwrap();
     // A request that was there is answered, and one on a connection that has only come up, too.
     // Whether the signal or the request is seen first is the system's choice.
