--- a/crates/sender/tests/program/crossings.rs
+++ b/crates/sender/tests/program/crossings.rs
@@ -101,10 +101,7 @@
             }
         };
         if what == "moved" {
-            let mut line = moved_to.accept();
-            ledger.heard(&mut line);
-            line.write_all(OK.as_bytes()).unwrap();
-            ledger.good("once-x");
+            let _line = ledger.delivered(&moved_to, "once-x");
         }
         ledger.check(&platform);
         late.set_read_timeout(Some(ms(200))).unwrap();
@@ -133,10 +130,7 @@
     assert!(program.wait().success());
     drop(endpoint.accept());
     program.restart();
-    let mut line = endpoint.accept();
-    ledger.heard(&mut line);
-    line.write_all(OK.as_bytes()).unwrap();
-    ledger.good("once-x");
+    let _line = ledger.delivered(&endpoint, "once-x");
     ledger.check(&platform);
 }
 
@@ -191,10 +185,7 @@
         // The module keeps a connection only from the second call on.
         for id in ["first", "second"] {
             ledger.taken(&program, "idem", id, 8000);
-            let mut next = endpoint.accept();
-            ledger.heard(&mut next);
-            next.write_all(OK.as_bytes()).unwrap();
-            ledger.good(id);
+            let next = ledger.delivered(&endpoint, id);
             program.logged("outcome=Delivered", 1 + usize::from(id == "second"));
             line = Some(next);
         }
@@ -219,10 +210,7 @@
         ledger.took("once-x");
         if !on_its_way {
             // Surely not begun: it goes out over another connection.
-            let mut next = endpoint.accept();
-            ledger.heard(&mut next);
-            next.write_all(OK.as_bytes()).unwrap();
-            ledger.good("once-x");
+            let _line = ledger.delivered(&endpoint, "once-x");
         }
         ledger.check(&platform);
     }
@@ -291,10 +279,7 @@
     });
     program.logged("peer=\"client\" code=\"peer-reset\"", 1);
     ledger.taken(&program, "once", "once-x", 3000);
-    let mut line = endpoint.accept();
-    ledger.heard(&mut line);
-    line.write_all(OK.as_bytes()).unwrap();
-    ledger.good("once-x");
+    let _line = ledger.delivered(&endpoint, "once-x");
     ledger.check(&platform);
 }
 
--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -465,6 +465,15 @@
         self.good.push(id.to_owned());
     }
 
+    /// A call comes over a new connection and is answered as delivered.
+    pub fn delivered(&mut self, endpoint: &Manual, id: &str) -> TcpStream {
+        let mut line = endpoint.accept();
+        assert_eq!(self.heard(&mut line).id(), id);
+        line.write_all(OK.as_bytes()).unwrap();
+        self.good(id);
+        line
+    }
+
     /// Waits for what is owed. Ids of webhooks that may run once begin with `once`.
     pub fn check(self, platform: &Platform) {
         let mut told: Vec<String> = Vec::new();
