The sender becomes a library with a thin program; moves and visibility only

Cause: a scale run needs hollow senders that drive the same cores (list, notices, bridge, module) without client sockets, and the cores stood in the program's own crate. Change: crates/sender/src/lib.rs holds the modules, all public, under the library name scalebarrow_sender; main.rs is the command line alone. Client and Notices gain Default beside new(), which lints ask of public types. The program's name, command line and linking stay.

--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -132,11 +132,18 @@
     pub unheard: Option<u64>,
 }
 
-impl Client {
-    pub fn new() -> Self {
+impl Default for Client {
+    fn default() -> Self {
         let decoder = Decoder::requests(MOST_BODY);
         Client { decoder, stage: Stage::Idle, fresh: true, last: false, passed: 0, unheard: None }
     }
+}
+
+impl Client {
+    /// A connection on which nothing has come yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
 
     /// The next step; only where nothing is left to write.
     pub fn step(&mut self) -> Step {
--- a/crates/sender/src/main.rs
+++ b/crates/sender/src/main.rs
@@ -1,16 +1,8 @@
 //! The command line of `scalebarrow`.
 
-mod bridge;
-mod clients;
-mod config;
-mod driver;
-mod endpoints;
-mod http;
-mod journal;
-mod list;
-mod notices;
-
 use bpaf::Bpaf;
+use scalebarrow_sender::config::Config;
+use scalebarrow_sender::driver;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_subscriber::filter::LevelFilter;
@@ -45,11 +37,11 @@
 }
 
 /// Logs to standard error from here on, and reads the configuration.
-fn start_log(least: LevelFilter, path: &Path) -> Result<config::Config, String> {
+fn start_log(least: LevelFilter, path: &Path) -> Result<Config, String> {
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
     // A log that cannot be written must not end the process.
     log.with_max_level(least).log_internal_errors(false).init();
-    config::Config::read(path)
+    Config::read(path)
 }
 
 fn main() -> ExitCode {
@@ -65,9 +57,7 @@
             println!("scalebarrow {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::Check { config } => {
-            config::Config::read(&config).map(|c| println!("{}: can be served", c.name))
-        }
+        Command::Check { config } => Config::read(&config).map(|c| println!("{}: can be served", c.name)),
         Command::Serve { config: path, state, log } => match start_log(log, &path) {
             Ok(config) => match driver::serve(config, &path, &state) {
                 Ok(()) => Ok(()),
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -33,11 +33,18 @@
     singly: bool,
 }
 
-impl Notices {
-    pub fn new() -> Self {
+impl Default for Notices {
+    fn default() -> Self {
         let decoder = Decoder::answers(MOST_ANSWER);
         Notices { decoder, due: VecDeque::new(), out: Vec::new(), singly: false }
     }
+}
+
+impl Notices {
+    /// Nothing is due and nothing is out.
+    pub fn new() -> Self {
+        Self::default()
+    }
 
     pub fn push(&mut self, number: u64) {
         self.due.push_back(number);
