Returns: turns by the sum of all senders, from the first lost call on

Change: one lost call tells of an outage where a sender has less than a call in two seconds at a destination; the budget is what stays under N + 2 root N + 2 but for two deviations, two thirds of it where senders may not have seen the outage; one time for a destination; one webhook a call until it answers. The span of the rule (tip-after-ms) is read from the settings.

--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -102,7 +102,7 @@
     s.set_limits(w.senders.slots, w.senders.holds, w.senders.attempts, w.senders.may_call_off);
     s.set_come_back(w.senders.come_back_s);
     s.set_list(w.list.ask, w.list.within_s, 4.0 * w.list.within_s);
-    s.set_cold(w.rules.cold_from, w.rules.warm_s, w.rules.fall_multiple);
+    s.set_cold(w.rules.cold_from, w.rules.warm_s, w.rules.fall_multiple, w.rules.fall_s);
     s.set_idle(w.senders.idle_s);
     s.set_key_rest(w.rules.key_rest_s);
     Box::new(s)
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -148,6 +148,7 @@
     cold_from: Option<f64>,
     cold_ms: Option<f64>,
     fall_multiple: Option<f64>,
+    tip_after_ms: Option<f64>,
     key_rest_ms: Option<f64>,
 }
 
@@ -237,6 +238,7 @@
             ("rules.cold-from", s.rules.cold_from),
             ("rules.cold-ms", s.rules.cold_ms),
             ("rules.fall-multiple", s.rules.fall_multiple),
+            ("rules.tip-after-ms", s.rules.tip_after_ms),
             ("rules.key-rest-ms", s.rules.key_rest_ms),
         ] {
             at(&format!("settings.{name}"), value.is_none_or(|v| v >= 0.0), "is below zero")?;
@@ -290,7 +292,8 @@
         sender.set_idle(seconds(s.caps.conn_idle_ms, UNBOUND));
         sender.set_list(self.asks(), seconds(s.rules.ask_within_ms, 10.0), list::LONGEST_PAUSE);
         let (from, warm) = (s.rules.cold_from.unwrap_or(1.0), seconds(s.rules.cold_ms, 0.0));
-        sender.set_cold(from, warm, s.rules.fall_multiple.unwrap_or(1e9));
+        let multiple = s.rules.fall_multiple.unwrap_or(1e9);
+        sender.set_cold(from, warm, multiple, seconds(s.rules.tip_after_ms, 1.0));
         sender.set_key_rest(seconds(s.rules.key_rest_ms, 0.0));
     }
 
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -87,7 +87,8 @@
     sender.set_list(ask, within, 4.0 * within);
     let multiple = number_if(EVENT, rules, "fall-multiple", 1e9)?;
     let (from, warm) = (number_if(EVENT, rules, "cold-from", 1.0)?, seconds(rules, "cold-ms", 0.0)?);
-    sender.set_cold(from, warm, multiple);
+    let span = seconds(rules, "tip-after-ms", 1000.0)?;
+    sender.set_cold(from, warm, multiple, span);
     sender.set_key_rest(seconds(rules, "key-rest-ms", 0.0)?);
     Ok(sender)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! opened with [`Sender::open`], told its settings by the `set_*` methods, and then fed inputs in the order
 //! they come. All decisions are in `logic`; this file only passes them on.
 
+mod chance;
 mod index;
 // The inputs come through as they are, each in its own argument.
 #[allow(clippy::too_many_arguments)]
@@ -147,9 +148,9 @@
     }
 
     /// A destination back from an outage has `from` of its capacity, all of it after `warm` seconds, and
-    /// falls over when sent more than `multiple` times what it can do for long.
-    pub fn set_cold(&mut self, from: f64, warm: f64, multiple: f64) {
-        self.0.cold = (from, warm, multiple);
+    /// falls over when sent more than `multiple` times what it can do for `span` seconds.
+    pub fn set_cold(&mut self, from: f64, warm: f64, multiple: f64, span: f64) {
+        self.0.cold = state::Cold { from, warm, multiple, span };
     }
 
     /// How long a connection that is not in use stays open by itself.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,6 +10,7 @@
 //! 5. queue: who gets scarce slots and room; connections that are scarce or go stale
 //! 6. attempt time-outs and further attempts
 
+use crate::chance::{Chance, hash};
 use crate::index::{Facts, Gates, Held, Kinds, Moment, median};
 use crate::state::*;
 use crate::{Effect, Entry, ListMode, Outbox, Outcome};
@@ -24,15 +25,6 @@
     then: fn(&mut Logic, Pick, &mut dyn Outbox),
 }
 
-/// What a rule's condition found for its effect to act on.
-enum Pick {
-    Webhook(u64),
-    Send(u64, Name),
-    Route(Name),
-    At(f64),
-    Any,
-}
-
 const RULES: [Rule; 10] = [
     Rule { name: "out-of-time", when: Logic::out_of_time, then: Logic::give_up },
     Rule { name: "spent", when: Logic::spent, then: Logic::give_up },
@@ -51,7 +43,7 @@
     pub now: f64,
     number: u64,
     senders: f64,
-    chance: u64,
+    chance: Chance,
     pub types: BTreeMap<Name, EventType>,
     webhooks: BTreeMap<u64, Webhook>,
     key_lines: BTreeMap<Name, VecDeque<u64>>,
@@ -76,7 +68,7 @@
     told: VecDeque<f64>,
     usual: f64,
     used_up_at: f64,
-    pub cold: (f64, f64, f64),
+    pub cold: Cold,
     held: Held<Group>,
     /// Destinations with webhooks to send and no calls out.
     gates: Gates,
@@ -99,12 +91,10 @@
     pub fn new(now: f64, seed: u64, number: u64, senders: u64) -> Self {
         let senders = senders.max(1) as f64;
         let mut logic = Logic { now, number, senders, ..Logic::default() };
-        // A multiply-with-carry state must not be 0 nor all ones; this keeps it inside.
-        logic.chance = (seed & 0xffff_ffff) | (1 << 32);
+        logic.chance = Chance::new(seed);
         (logic.watch.within, logic.idle_for) = (f64::INFINITY, f64::INFINITY);
         (logic.watch.ask_at, logic.aging.next) = (now, now);
         (logic.closes_at, logic.used_up_at) = (f64::INFINITY, f64::NEG_INFINITY);
-        logic.cold = (1.0, 0.0, f64::INFINITY);
         (logic.caps.slots, logic.caps.holds, logic.caps.attempts) = (1, 1, 1);
         logic
     }
@@ -115,12 +105,6 @@
         self.watch.ask_at += if first { self.list_turn() } else { 0.0 };
     }
 
-    /// Marsaglia's multiply-with-carry, 32 bits; the multiplier is one that he lists.
-    fn chance(&mut self) -> f64 {
-        self.chance = 4_294_957_665 * (self.chance & 0xffff_ffff) + (self.chance >> 32);
-        (self.chance & 0xffff_ffff) as f64 / 4_294_967_296.0
-    }
-
     pub fn settle(&mut self, out: &mut dyn Outbox) {
         // Every firing ends or sends a webhook or moves a time; the bound guards against a mistake there.
         let mut last = "";
@@ -217,7 +201,7 @@
                 self.watch.refusals += 1;
                 // Three quarters and a quarter of the longest pause at most.
                 let step = (0.4 * f64::from(1 << self.watch.refusals.min(6))).min(self.watch.pause / 2.0);
-                let wait = step * (0.5 + self.chance());
+                let wait = step * (0.5 + self.chance.draw());
                 self.watch.ask_at = now + wait + self.list_turn().min(self.watch.pause / 4.0);
                 return;
             }
@@ -253,9 +237,10 @@
             }
             // One that started lately is cold too: what all senders hold would push it over when they hear of
             // it. Harm: one that is listed as new though it is warm.
-            if e.born > r.born.max(now - self.cold.1) {
+            if e.born > r.born.max(now - self.cold.warm) {
                 (r.born, r.outage, r.back) = (e.born, true, Some(e.born.min(now)));
-                self.come_in_turn(&e.ep.into(), false);
+                let scope = Self::scope(&e.ep.into(), &self.routes[e.ep]);
+                self.come_in_turn(&scope, false);
             }
             self.held.changed.insert(e.dest);
         }
@@ -312,7 +297,7 @@
         // Further attempts are 0.1 s apart (a short stall) if all recent ones succeeded, up to 2 s if none.
         let good = self.retries.iter().filter(|g| **g).count() + 1;
         let pause = (0.1 * (self.retries.len() + 1) as f64 / good as f64).min(2.0);
-        let yields = if full { self.yields(id) * (0.5 + self.chance()) } else { 0.0 };
+        let yields = if full { self.yields(id) * (0.5 + self.chance.draw()) } else { 0.0 };
         self.webhooks.entry(id).and_modify(|w| w.not_before = now + pause.max(yields));
         self.hold(id);
     }
@@ -470,7 +455,7 @@
 
     /// A turn to ask, as crowds are refused: twenty calls a second from all, in half of the allowed time.
     fn list_turn(&mut self) -> f64 {
-        self.chance() * (0.05 * (self.senders - 1.0)).min(self.watch.within / 2.0)
+        self.chance.draw() * (0.05 * (self.senders - 1.0)).min(self.watch.within / 2.0)
     }
 
     fn ask_list(&mut self, _: Pick, out: &mut dyn Outbox) {
@@ -526,22 +511,25 @@
         median(told.map(|l| l.1)).unwrap_or(if r.rate > 0.0 { r.rate } else { self.usual })
     }
 
-    /// Calls a second that are this sender's part of what a route back from an outage can take.
-    fn cold_rate(&self, r: &Route, m: Option<&Meter>) -> f64 {
-        let (from, warm, multiple) = self.cold;
-        let since = r.back.map_or(0.0, |b| self.now - b);
-        let part = (from + (1.0 - from) * since / warm).min(1.0);
+    /// Calls a second that all senders may make together at a scope back from an outage, where `wanting` of them want it.
+    fn cold_rate(&self, r: &Route, m: Option<&Meter>, wanting: f64) -> f64 {
+        let part = self.cold.part(r.back.map_or(0.0, |back| self.now - back));
         // A limit that was cut does not make the destination weaker: what is listed counts.
         let sure = self.rate(r, m).max(r.rate);
         // A call a second where no rate is known: that must not shut a route for good.
-        let sure = if sure > 0.0 { sure } else { 1.0 };
-        sure * part * multiple / self.senders / self.endpoints(r)
+        let budget = if sure > 0.0 { sure } else { 1.0 } * part * self.cold.multiple * self.cold.span;
+        // What pushes it over; a third of that is left to senders that did not see the outage, where there are any.
+        let most = (budget + 2.0 * budget.sqrt() + 2.0) * (wanting / self.senders).max(2.0 / 3.0);
+        // Calls that come independently of each other stay within two deviations of their mean, those of a few
+        // senders within one call of each.
+        let mean = (((4.0 + 4.0 * most).sqrt() - 2.0) / 2.0).powi(2);
+        mean.max(most - wanting).min(budget) / self.cold.span
     }
 
     /// When the scope takes a call, or a further webhook in a call of this turn.
     fn pace_end(&self, ep: &Name, r: &Route, joins: bool) -> f64 {
-        let cold = if r.outage { r.cold_due } else { 0.0 };
-        let Some(m) = self.meters.get(&Self::scope(ep, r)) else { return cold };
+        let Some(m) = self.meters.get(&Self::scope(ep, r)) else { return 0.0 };
+        let cold = if r.outage { m.cold_due } else { 0.0 };
         if joins {
             return m.wait_until;
         }
@@ -556,44 +544,51 @@
         m.wait_until.max(empty).max(cold).max(spent)
     }
 
-    /// Seconds until each sender that may want a route back from an outage, or still in one, has had a call
-    /// within the cold budget: no more of them than webhooks that came since for `eps` endpoints.
-    fn turn(&self, r: &Route, m: Option<&Meter>, since: f64, eps: f64) -> f64 {
+    /// Seconds until each sender that may want a scope back from an outage, or still in one, has had a call within
+    /// the cold budget: no more of them than webhooks that came since, and are not over yet.
+    fn turn(&self, r: &Route, m: Option<&Meter>, since: f64) -> f64 {
         let rate = if r.rate > 0.0 { r.rate } else { self.rate(r, m) };
+        let ttl = self.types.values().map(|t| t.ttl).fold(0.0, f64::max);
+        // A sender that saw calls fail does not know for how long others have: since it saw one go well.
+        let failing = m.filter(|_| r.outage || r.bad_row > 0).map(|m| m.well_at.unwrap_or(f64::NEG_INFINITY));
+        let since = failing.map_or(since, |well_at| since.min(well_at));
         // Twice what the rate lets expect: few calls from many senders bunch by chance.
-        let came = 2.0 * rate * (self.now - since).max(0.0) / self.endpoints(r) + 1.0;
-        let part = (came * eps / self.senders).min(1.0);
-        let wait = part / self.cold_rate(r, m) / eps;
+        let came = 2.0 * rate * (self.now - since).clamp(0.0, ttl) + 1.0;
+        let wanting = came.min(self.senders);
+        let wait = wanting / self.cold_rate(r, m, wanting);
         // Once it answers the budget grows meanwhile; what is taken until a time is a quadratic in it.
-        let (from, warm, _) = self.cold;
+        let Cold { from, warm, .. } = self.cold;
         let grows = |back: f64| (1.0 - from) / (from * warm + (1.0 - from) * (self.now - back)).max(0.001);
         let more = r.back.map_or(0.0, grows);
         if more > 0.0 { ((1.0 + 2.0 * more * wait).sqrt() - 1.0) / more } else { wait }
     }
 
-    /// Each sender in its turn, as with trials: many may hold a webhook when a cold route takes calls again.
-    /// What was put off for longer while nobody knew comes earlier once it answers; a circuit's pause stays.
-    fn come_in_turn(&mut self, ep: &Name, answers: bool) {
-        let (now, jitter) = (self.now, self.chance());
-        let Some(r) = self.routes.get_mut(ep).filter(|r| r.outage) else { return };
-        r.back = r.back.or(Some(now).filter(|_| answers));
-        let (r, scope) = (&self.routes[ep], Self::scope(ep, &self.routes[ep]));
-        let due = now + self.turn(r, self.meters.get(&scope), now - 4.0, 1.0) * (0.2 + 1.6 * jitter);
-        let latest = if answers { due } else { f64::INFINITY };
-        let Some(r) = self.routes.get_mut(ep) else { return };
-        r.cold_due = if r.cold_due < now { due } else { r.cold_due.min(latest) };
-        r.trial_at = r.trial_at.min(latest.max(now + r.cooling));
+    fn routes_of<'a>(&'a self, scope: &'a Scope) -> impl Iterator<Item = (&'a Name, &'a Route)> {
+        let all = self.dests.get(&scope.0).into_iter().flatten();
+        let own = all.filter(|ep| scope.1.as_ref().is_none_or(|own| own == *ep));
+        own.filter_map(|ep| Some((ep, self.routes.get(ep)?)))
     }
 
-    /// Endpoints of one destination share its rate and capacity. Those that left have no part in it.
-    fn endpoints(&self, r: &Route) -> f64 {
-        let eps = || self.dests.get(&r.dest).into_iter().flatten();
-        let ready = |ep: &&Name| self.routes.get(*ep).is_some_and(|x| x.ready);
-        if r.apart { 1.0 } else { eps().filter(ready).count().max(1) as f64 }
+    /// Each sender in its turn, as with trials: many may hold a webhook when a cold scope takes calls again.
+    /// What was put off for longer while nobody knew comes earlier once it answers; a circuit's pause stays.
+    fn come_in_turn(&mut self, scope: &Scope, answers: bool) {
+        let now = self.now;
+        let cold = self.routes_of(scope).filter(|(_, r)| r.outage).map(|(ep, _)| ep.clone());
+        for ep in cold.collect::<Vec<_>>() {
+            let jitter = self.chance.draw();
+            self.routes.entry(ep.clone()).and_modify(|r| r.back = r.back.or(Some(now).filter(|_| answers)));
+            let turn = self.turn(&self.routes[&ep], self.meters.get(scope), now - 4.0);
+            let due = now + turn * (0.2 + 1.6 * jitter);
+            let latest = if answers { due } else { f64::INFINITY };
+            let m = self.meters.entry(scope.clone()).or_default();
+            m.cold_due = if m.cold_due < now { due } else { m.cold_due.min(latest) };
+            let put_off = |r: &mut Route| r.trial_at = r.trial_at.min(latest.max(now + r.cooling));
+            self.routes.entry(ep).and_modify(put_off);
+        }
     }
 
     fn cooling_off(&mut self, ep: &Name, scope: &Scope, wait: f64) -> bool {
-        let (now, senders, jitter) = (self.now, self.senders, self.chance());
+        let (now, senders, jitter) = (self.now, self.senders, self.chance.draw());
         let left = self.meters.get(scope).and_then(|m| m.left).filter(|l| l.1 == now).map(|l| l.0);
         // It may drain, be cold or slow. A limit makes all refuse: below 4 calls/s each, one tells of it.
         let alone = left.is_some_and(|left| left >= 0.2);
@@ -621,11 +616,12 @@
         let (since, m) = (m.full_since - wait - if shut { 2.0 } else { 0.0 }, self.meters.get(scope));
         // Until a limit has room for a call though it were cold, 0.2 s at least; up to eight times that.
         let rate = self.rate(r, m);
-        let room = if taking { (1.0 / (self.cold.0 * self.cold.2 * rate)).clamp(0.2, 4.0) } else { 0.2 };
+        let room =
+            if taking { (1.0 / (self.cold.from * self.cold.multiple * rate)).clamp(0.2, 4.0) } else { 0.2 };
         // More is called than it takes, and refused calls use it up too: until all together use half of it.
         let gone = taking && left.is_some_and(|left| left < 0.001);
         let part = [1.0, 0.0, 0.5][usize::from(taking) + usize::from(gone)];
-        let turn = part * self.turn(r, m, since, self.endpoints(r));
+        let turn = part * self.turn(r, m, since);
         let most = (8.0 * room).max(if gone { 2.0 * senders / rate } else { 0.0 });
         let m = self.meters.entry(scope.clone()).or_default();
         let own = (room * f64::from(1 << (m.full_row - 1).min(9))).min(most) * (0.75 + 0.5 * jitter);
@@ -646,11 +642,14 @@
     }
 
     /// Calls to a destination got lost wherever they went: an outage, though no route had a row of three.
-    fn all_failing(&self, dest: u64) -> bool {
-        let here = || self.dests.get(&dest).into_iter().flatten().filter_map(|ep| self.routes.get(ep));
+    fn all_failing(&self, scope: &Scope) -> bool {
+        let here = || self.routes_of(scope).map(|(_, r)| r);
         // Three as for one route; two seconds, since what was sent then tells of the same moment.
         let fine = |r: &Route| r.samples.iter().any(|s| s.good && s.at - s.took >= self.now - 2.0);
-        here().map(|r| r.bad_row).sum::<u32>() >= 3 && !here().any(fine)
+        // Where each of many has less than a call in that time, two more from each would push it over.
+        let rate = here().map(|r| self.rate(r, self.meters.get(scope))).fold(0.0, f64::max);
+        let enough = if 2.0 * rate < self.senders { 1 } else { 3 };
+        here().map(|r| r.bad_row).sum::<u32>() >= enough && !here().any(fine)
     }
 
     /// An outage was seen: routes of its scope where no call sent after `since` went well come back cold.
@@ -733,7 +732,8 @@
     fn end_call(
         &mut self, id: u64, ep: &str, outcome: Outcome, took: f64, report: Option<(f64, f64)>,
     ) -> bool {
-        let (now, slots, senders, jitter) = (self.now, self.caps.slots as f64, self.senders, self.chance());
+        let (now, slots, senders, jitter) =
+            (self.now, self.caps.slots as f64, self.senders, self.chance.draw());
         let Some((ep, r)) = self.routes.get_key_value(ep) else { return false };
         let (ep, scope) = (ep.clone(), Self::scope(ep, r));
         let Some(r) = self.routes.get_mut(&ep) else { return false };
@@ -799,7 +799,7 @@
                 return self.cooling_off(&ep, &scope, wait);
             }
             Outcome::Delivered => {
-                r.answered = now;
+                (r.answered, m.well_at) = (now, Some(now));
                 self.thrift.entry(r.kind.clone()).or_default().1 += 1;
                 if r.no_link_at.is_some_and(|t| now < t + 4.0) {
                     // A connect failed just before: too short for an outage, so connections are scarce there,
@@ -824,7 +824,7 @@
                     r.samples.clear();
                 }
                 returns = r.outage && r.back.is_none();
-                if r.outage && now - *r.back.get_or_insert(now) > self.cold.1 {
+                if r.outage && now - *r.back.get_or_insert(now) > self.cold.warm {
                     (r.outage, r.back) = (false, None);
                 }
             }
@@ -853,9 +853,8 @@
         r.samples.drain(..r.samples.len().saturating_sub(30));
         (r.slow, r.score) = (Self::slow_end(&r.samples), Self::score(&r.samples));
         if good {
-            let eps = self.dests.get(&scope.0).filter(|_| returns).cloned().into_iter().flatten();
-            for x in eps.filter(|x| scope.1.is_none() || *x == ep) {
-                self.come_in_turn(&x, true);
+            if returns {
+                self.come_in_turn(&scope, true);
             }
             return false;
         }
@@ -864,11 +863,9 @@
         r.bad_since = if r.bad_row == 1 && !r.outage { sent_at } else { r.bad_since };
         let fine = r.samples.iter().filter(|s| s.good).count();
         let quiet = !r.samples.iter().any(|s| s.good && s.at >= sent_at);
-        if scope.1.is_none() && self.all_failing(scope.0) {
+        if self.all_failing(&scope) {
             self.mark_outage(&scope, now - 2.0);
-            for ep in self.dests.get(&scope.0).cloned().into_iter().flatten() {
-                self.come_in_turn(&ep, false);
-            }
+            self.come_in_turn(&scope, false);
         }
         let Some(r) = self.routes.get_mut(&ep) else { return false };
         // Two in a row with nothing good since, one error with nothing good known, or most of five: it opens.
@@ -880,7 +877,7 @@
             r.cooling = if std::mem::replace(&mut r.open, true) { (r.cooling * 1.5).min(2.0) } else { 0.5 };
             let (cooling, bad_row, since) = (r.cooling, r.bad_row, r.bad_since);
             let row_at = r.samples.iter().rev().take_while(|s| !s.good).last().map_or(now, |s| s.at);
-            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0, 1.0);
+            let turn = self.turn(&self.routes[&ep], self.meters.get(&scope), since - 2.0);
             if let Some(r) = self.routes.get_mut(&ep) {
                 r.trial_at = now + (cooling * (0.75 + 0.5 * jitter)).max(turn * (0.2 + 1.6 * jitter));
             }
@@ -910,8 +907,11 @@
     }
 
     fn gated(&self, ep: &Name, r: &Route) -> bool {
-        let joins =
-            r.calls.last().is_some_and(|c| c.at == self.now && !c.trial && c.webhooks.len() < r.batch);
+        // Until one back from an outage has answered a call, each takes one webhook: a full call is as much work as three.
+        let well_at = self.meters.get(&Self::scope(ep, r)).and_then(|m| m.well_at);
+        let unknown = r.outage && well_at.is_none_or(|at| at < r.back.unwrap_or(f64::INFINITY));
+        let room = |c: &Call| c.at == self.now && !c.trial && !unknown && c.webhooks.len() < r.batch;
+        let joins = r.calls.last().is_some_and(room);
         let at = if joins && r.ready { self.pace_end(ep, r, true) } else { self.free_at(ep, r) };
         r.open || at > self.now
     }
@@ -929,18 +929,12 @@
         scored.sort_by_cached_key(|(score, ep)| {
             let (r, ties) = (&self.routes[*ep], *score >= top - 0.05);
             let unwell = r.unwell_at.is_some_and(|t| t > self.now - 10.0);
-            let tied = (unwell, Moment(r.way), Some(*ep) != stays, self.tie(ep));
+            let tied = (unwell, Moment(r.way), Some(*ep) != stays, hash(self.number, ep));
             (Moment(if ties { -9.0 } else { -score }), tied)
         });
         scored.into_iter().map(|s| s.1).collect()
     }
 
-    /// FNV-1a over the sender's number and the route's id.
-    fn tie(&self, ep: &str) -> u64 {
-        let bytes = self.number.to_le_bytes().into_iter().chain(ep.bytes());
-        bytes.fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
-    }
-
     // ---- queue ----
 
     fn over_share(&mut self, customer: &str) -> bool {
@@ -1025,7 +1019,7 @@
         let (now, senders) = (self.now, self.senders);
         let (Some(w), Some(r)) = (self.webhooks.get(&id), self.routes.get(&ep)) else { return };
         let (scope, stop_at, dest, trial) = (Self::scope(&ep, r), self.stop_at(w, r), w.dest, r.open);
-        let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0, 1.0);
+        let turn = self.turn(r, self.meters.get(&scope), r.bad_since - 2.0);
         // An even part, 1.3 where routes share a limit; up to a call a second where one comes once in a TTL
         // or less, as chance decides then who has something to send; else that would jam the limit.
         let ttl = self.types.values().map(|t| t.ttl).fold(f64::INFINITY, f64::min);
@@ -1051,14 +1045,14 @@
         if let Some(call) = joined {
             call.webhooks.insert(id);
             // A further webhook in a call is some more work for the destination, about a quarter of a call.
-            r.cold_due += if r.outage { 0.25 * turn } else { 0.0 };
+            m.cold_due += if r.outage { 0.25 * turn } else { 0.0 };
         } else {
             r.calls.push(Call { at: now, trial, idle, webhooks: BTreeSet::from([id]), ..Call::default() });
             r.links = r.links.max(r.calls.len());
             (r.call_gap, r.call_at) = (now - r.call_at, now);
             self.busy += 1;
             *self.out.entry(dest).or_default() += 1;
-            r.cold_due = r.cold_due.max(now) + if r.outage { turn } else { 0.0 };
+            m.cold_due = m.cold_due.max(now) + if r.outage { turn } else { 0.0 };
             m.sent.push_back(now);
             // 400 calls: more than any destination here takes in a second.
             m.sent.drain(..m.sent.len().saturating_sub(400));
--- a/src/scan.rs
+++ b/src/scan.rs
@@ -170,7 +170,8 @@
     l.kinds.insert("apart".into(), (3, true));
     l.customers.insert("c".into(), (2.0, 0.5, VecDeque::new()));
     (l.caps.slots, l.caps.holds, l.caps.attempts, l.caps.may_call_off) = (slots, 60, 5, true);
-    (l.cold, l.idle_for, l.key_rest, l.watch.ask, l.watch.within) = ((0.3, 4.0, 1.5), 2.0, 0.4, ask, 5.0);
+    l.cold = Cold { from: 0.3, warm: 4.0, multiple: 1.5, span: 1.5 };
+    (l.idle_for, l.key_rest, l.watch.ask, l.watch.within) = (2.0, 0.4, ask, 5.0);
     l
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -89,13 +89,11 @@
     /// Connections open at most, and when none could be had.
     pub links: usize,
     pub no_link_at: Option<f64>,
-    /// Back from an outage that this sender saw, or still in one: when it answered again, and when this
-    /// sender's part of the cold budget has room for the next call.
+    /// Back from an outage that this sender saw, or still in one, and when it answered again.
     pub outage: bool,
     /// Its last start, where the list tells one.
     pub born: f64,
     pub back: Option<f64>,
-    pub cold_due: f64,
 }
 
 /// What shares a limit, waits and outages: a destination, or one route of it where routes are apart.
@@ -149,4 +147,40 @@
     pub full_at: f64,
     pub limits: VecDeque<(f64, f64)>,
     pub left: Option<(f64, f64)>,
+    /// When this sender's part of the cold budget has room for the next call.
+    pub cold_due: f64,
+    /// When a call was last delivered there.
+    pub well_at: Option<f64>,
+}
+
+/// What a destination takes after an outage: `from` of its capacity, all of it after `warm` seconds. It falls over when
+/// sent more than `multiple` times what it can do for `span` seconds.
+#[derive(Clone, Copy)]
+pub(crate) struct Cold {
+    pub from: f64,
+    pub warm: f64,
+    pub multiple: f64,
+    pub span: f64,
+}
+
+impl Cold {
+    /// The share of its capacity that it has so many seconds after its return.
+    pub fn part(&self, since: f64) -> f64 {
+        (self.from + (1.0 - self.from) * since / self.warm).min(1.0)
+    }
+}
+
+impl Default for Cold {
+    fn default() -> Self {
+        Cold { from: 1.0, warm: 0.0, multiple: f64::INFINITY, span: 1.0 }
+    }
+}
+
+/// What a rule's condition found for its effect to act on.
+pub(crate) enum Pick {
+    Webhook(u64),
+    Send(u64, Name),
+    Route(Name),
+    At(f64),
+    Any,
 }
