--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -129,10 +129,15 @@
     }
 }
 
-/// One line of the list.
+/// One line of the list, for destination 1.
 pub fn host(name: &str, at: SocketAddr, kind: &str, health: &str) -> String {
+    host_of(1, name, at, kind, health)
+}
+
+/// One line of the list.
+pub fn host_of(dest: u64, name: &str, at: SocketAddr, kind: &str, health: &str) -> String {
     format!(
-        r#"{{"host":"{name}","dial":"{at}","site":"z","class":"{kind}","block":1,"health":"{health}","share":50.0,"born_ms":0}}"#
+        r#"{{"host":"{name}","dial":"{at}","site":"z","class":"{kind}","block":{dest},"health":"{health}","share":50.0,"born_ms":0}}"#
     )
 }
 
@@ -313,10 +318,15 @@
         self.signal("HUP");
     }
 
+    /// What it has logged, since its first start on this folder.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap()
+    }
+
     /// Waits until so many lines of its log hold that text.
     pub fn logged(&self, text: &str, lines: usize) {
         let since = Instant::now();
-        while std::fs::read_to_string(self.folder.join("log")).unwrap().matches(text).count() < lines {
+        while self.log().matches(text).count() < lines {
             assert!(since.elapsed() < LONG, "{text} is not logged");
             thread::sleep(Duration::from_millis(5));
         }
@@ -382,12 +392,17 @@
     }
 }
 
-/// The bytes of a webhook handed in.
+/// The bytes of a webhook handed in for destination 1.
 pub fn hand_in(event_type: &str, id: &str, ms: u64, body: &[u8]) -> Vec<u8> {
+    hand_in_for(1, event_type, id, ms, body)
+}
+
+/// The bytes of a webhook handed in.
+pub fn hand_in_for(dest: u64, event_type: &str, id: &str, ms: u64, body: &[u8]) -> Vec<u8> {
     let size = body.len();
     let head = format!(
         "POST /{event_type} HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Deadline: {ms}m\r\n\
-         Idempotency-Key: key-{id}\r\nX-Addressing: dest=1\r\nContent-Length: {size}\r\n\r\n"
+         Idempotency-Key: key-{id}\r\nX-Addressing: dest={dest}\r\nContent-Length: {size}\r\n\r\n"
     );
     [head.as_bytes(), body].concat()
 }
