Tests on sockets have more than 256 addresses

Cause: the number of an address was cut to a byte; with 52 tests in one process the 256 were used up, an address came again and three tests failed with AddrInUse.

--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -18,7 +18,8 @@
 pub fn address() -> SocketAddr {
     static NEXT: AtomicUsize = AtomicUsize::new(1);
     let (own, pid) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
-    SocketAddr::from(([127, 100 + (pid % 100) as u8, (pid / 100 % 250) as u8, own as u8], 8081))
+    let (host, port) = ((own % 256) as u8, 8081 + (own / 256) as u16);
+    SocketAddr::from(([127, 100 + (pid % 100) as u8, (pid / 100 % 250) as u8, host], port))
 }
 
 /// One message as it came: the first line and header lines, and the body.
