Tests that force what is there but not seen, short descriptors and writes in parts

Cause: taken out one at a time in a scratch clone, several guards that docs/crossings.md names left all tests green, as what they guard against came in the same turn as an event that says so; other rows had no test. Change: a crowd of 300 clients makes a turn of its own, so that an endpoint's end, an answer or a client is there but unseen (an_endpoint_that_ends_the_connection_as_it_is_used and an_answer_and_the_end_of_its_time_in_one_turn gain cases, what_is_there_but_not_seen_as_the_process_ends_counts is new). An endpoint whose reset may not be answered by another try has to be left alone.

--- a/crates/sender/src/clients/tests.rs
+++ b/crates/sender/src/clients/tests.rs
@@ -105,3 +105,16 @@
         assert_eq!(shut, awaited.is_none(), "{name}");
     }
 }
+
+#[test]
+fn a_client_that_goes_on_sending_after_the_end_is_closed_in_the_end() {
+    let mut client = Client::new();
+    client.end();
+    assert!(matches!(client.step(), Step::Shut));
+    client.stage = Stage::Lingering;
+    for _ in 0..=16 {
+        assert!(matches!(client.step(), Step::Read));
+        client.bytes(REQUEST);
+    }
+    assert!(matches!(client.step(), Step::Close));
+}
--- a/crates/sender/tests/program/crossings.rs
+++ b/crates/sender/tests/program/crossings.rs
@@ -2,9 +2,9 @@
 //! happen, so that it sees them in one turn. docs/crossings.md lists all of them.
 
 use crate::helpers::{
-    self, Deed, Endpoint, Ledger, Manual, OK, Platform, Program, address, hand_in, hear, host, list,
+    self, Crowd, Deed, Endpoint, Ledger, Manual, OK, Platform, Program, address, hand_in, hand_in_for, hear,
+    host, host_of, list, reset, say,
 };
-use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread::sleep;
@@ -24,11 +24,6 @@
     (endpoint, platform, program)
 }
 
-/// A reset: what the other side sent last may be lost with it.
-fn reset(stream: TcpStream) {
-    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
-}
-
 /// The connection ends as it should: nothing more comes, and no reset.
 fn ends(mut stream: TcpStream) -> bool {
     matches!(stream.read(&mut [0; 64]), Ok(0))
@@ -37,22 +32,28 @@
 #[test]
 fn an_answer_and_the_end_of_its_time_in_one_turn() {
     let later = "HTTP/1.1 429 no\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n";
-    // Event type, TTL, how long the program stands still with the call out, the answer, whether it delivers.
+    // Event type, TTL, how long the program stands still with the call out, the answer, whether it delivers; and whether it
+    // is seen in the same turn or only there, behind so many other events that they make a turn of their own.
     let cases = [
-        ("when the time is up a 200 delivers nothing", "once", 600, 700, OK, false),
-        ("nor where it may be sent again", "idem", 600, 700, OK, false),
-        ("before that it does, though patience is over", "once", 8000, 2600, OK, true),
-        ("a refusal when the time is up", "once", 600, 700, later, false),
+        ("when the time is up a 200 delivers nothing", "once", 600, 700, OK, false, true),
+        ("nor where it may be sent again", "idem", 600, 700, OK, false, true),
+        ("before that it does, though patience is over", "once", 8000, 2600, OK, true, true),
+        ("the same where it is not seen yet", "once", 8000, 2600, OK, true, false),
+        ("a refusal when the time is up", "once", 600, 700, later, false, true),
     ];
-    for (name, event_type, ttl, still, answer, good) in cases {
+    for (name, event_type, ttl, still, answer, good, seen) in cases {
         println!("{name}");
-        let (endpoint, platform, program) = with_manual(&[]);
+        let (endpoint, platform, program) = with_manual(&[Crowd::ROOM]);
         let mut ledger = Ledger::default();
         ledger.taken(&program, event_type, "once-x", ttl);
         let mut line = endpoint.accept();
         ledger.heard(&mut line);
+        let mut crowd = (!seen).then(|| Crowd::connect(&program));
         program.stalled(|| {
             sleep(ms(still));
+            if let Some(crowd) = &mut crowd {
+                crowd.speak();
+            }
             line.write_all(answer.as_bytes()).unwrap();
         });
         if good {
@@ -63,6 +64,22 @@
     }
 }
 
+#[test]
+fn an_answer_that_stops_half_way_is_given_up_long_before_patience_is_over() {
+    for half in ["HTTP/1.1 503 no\r\nContent-", "HTTP/1.1 503 no\r\nContent-Length: 9\r\n\r\nhal"] {
+        let (endpoint, platform, program) = with_manual(&[]);
+        let mut ledger = Ledger::default();
+        ledger.taken(&program, "once", "once-x", 8000);
+        let mut line = endpoint.accept();
+        ledger.heard(&mut line);
+        line.write_all(half.as_bytes()).unwrap();
+        let since = Instant::now();
+        // It may have run: the only final answer is a notice.
+        ledger.check(&platform);
+        assert!(since.elapsed() < ms(1200), "{:?}", since.elapsed());
+    }
+}
+
 #[test]
 fn a_connection_that_comes_up_late_carries_only_what_may_still_go() {
     let longer = (r#""connect-timeout-ms":1000.0"#, r#""connect-timeout-ms":9000.0"#);
@@ -176,10 +193,20 @@
 
 #[test]
 fn an_endpoint_that_ends_the_connection_as_it_is_used() {
-    // What comes in one turn with the next request, whether the call is on its way then, and whether it goes again.
-    for (what, on_its_way) in [("its end", false), ("a reset", false), ("noise", false), ("a reset", true)] {
-        println!("{what}, {on_its_way}");
-        let (endpoint, platform, program) = with_manual(&[]);
+    // What comes with the next request, whether the call is on its way then, and whether it is seen in the same turn or
+    // only there, behind so many other events that they make a turn of their own.
+    let cases = [
+        ("its end", false, true),
+        ("a reset", false, true),
+        ("noise", false, true),
+        ("a reset", true, true),
+        ("its end", false, false),
+        ("a reset", false, false),
+        ("noise", false, false),
+    ];
+    for (what, on_its_way, seen) in cases {
+        println!("{what}, on its way: {on_its_way}, seen: {seen}");
+        let (endpoint, platform, program) = with_manual(&[Crowd::ROOM]);
         let mut ledger = Ledger::default();
         let mut line = None;
         // The module keeps a connection only from the second call on.
@@ -191,6 +218,7 @@
         }
         let mut line = line.unwrap();
         let bytes = hand_in("once", "once-x", 3000, b"");
+        let mut crowd = (!seen).then(|| Crowd::connect(&program));
         let mut client = program.connect();
         if on_its_way {
             client.write_all(&bytes).unwrap();
@@ -199,6 +227,9 @@
         } else {
             program.stalled(|| {
                 client.write_all(&bytes).unwrap();
+                if let Some(crowd) = &mut crowd {
+                    crowd.speak();
+                }
                 match what {
                     "noise" => line.write_all(b"HTTP/1.1 200 O").unwrap(),
                     "a reset" => reset(line),
@@ -213,6 +244,7 @@
             let _line = ledger.delivered(&endpoint, "once-x");
         }
         ledger.check(&platform);
+        assert!(endpoint.is_left_alone(), "{what}: it goes again");
     }
 }
 
@@ -267,6 +299,61 @@
     ledger.check(&platform);
 }
 
+#[test]
+fn a_client_that_keeps_a_connection_that_was_shut_is_not_waited_for_long() {
+    let (_endpoint, _platform, program) = with_manual(&[]);
+    let mut client = program.connect();
+    client.write_all(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+    assert_eq!(hear(&mut client).unwrap().status(), 200);
+    // Its rest is over and nothing more is taken; it does not end its own side.
+    assert_eq!(client.peek(&mut [0]).unwrap(), 0);
+    let since = Instant::now();
+    program.logged("peer=\"client\" code=\"idle\"", 1);
+    let took = since.elapsed();
+    assert!((ms(300)..ms(1500)).contains(&took), "{took:?}");
+}
+
+/// The end comes in a turn that has so many events that an answer, and a client that connects, are there but not seen.
+#[test]
+fn what_is_there_but_not_seen_as_the_process_ends_counts() {
+    let at = address();
+    let endpoint = Manual::start(at);
+    let hosts = [host("a", at, "plain", "SERVING"), host_of(2, "b", address(), "plain", "DRAINING")];
+    let known = list(1, true, &hosts);
+    let platform = Platform::start(known.clone(), 0);
+    let mut program = Program::start(&platform, &known, &[Crowd::ROOM]);
+    let mut ledger = Ledger::default();
+    // With one that is held it does not end before its time.
+    assert_eq!(say(program.listen, &hand_in_for(2, "once", "once-held", 6000, b"")).unwrap().status(), 202);
+    ledger.took("once-held");
+    let since = Instant::now();
+    let until = |at| sleep(ms(at).saturating_sub(since.elapsed()));
+    program.signal("TERM");
+    program.logged("code=\"closing\"", 1);
+    until(1800);
+    ledger.taken(&program, "once", "once-x", 8000);
+    let mut line = endpoint.accept();
+    ledger.heard(&mut line);
+    until(2500);
+    let mut crowd = Crowd::connect(&program);
+    let mut late = program.stalled(|| {
+        // It ends 3.3 s after the signal.
+        until(3400);
+        crowd.speak();
+        line.write_all(OK.as_bytes()).unwrap();
+        let mut late = program.connect();
+        late.write_all(&hand_in("once", "once-late", 8000, b"")).unwrap();
+        late
+    });
+    assert_eq!(hear(&mut late).unwrap().status(), 202);
+    ledger.took("once-late");
+    ledger.good("once-x");
+    assert!(program.wait().success());
+    program.restart();
+    let _line = ledger.delivered(&endpoint, "once-late");
+    ledger.check(&platform);
+}
+
 #[test]
 fn a_client_that_resets_unheard_has_handed_in_nothing_and_may_come_again() {
     let (endpoint, platform, program) = with_manual(&[]);
--- a/crates/sender/tests/program/descriptors.rs
+++ b/crates/sender/tests/program/descriptors.rs
@@ -1,6 +1,8 @@
 //! Descriptors are short: what the program needs for itself is kept apart from what clients and endpoints may take.
 
-use crate::helpers::{Deed, Endpoint, LONG, OK, Platform, Program, address, hand_in_for, host_of, list, say};
+use crate::helpers::{
+    Deed, Endpoint, LONG, OK, Platform, Program, address, hand_in_for, hear, host_of, list, say,
+};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -141,3 +143,30 @@
     assert_eq!(shortages(&program), [""; 0]);
     assert!(program.descriptors() <= ALLOWED);
 }
+
+#[test]
+fn without_a_descriptor_nothing_is_sent_held_against_an_endpoint_or_lost() {
+    let endpoint = Endpoint::start(|_, _| Deed::Say(OK));
+    let known = list(1, true, &[host_of(1, "a", endpoint.at, "plain", "SERVING")]);
+    let platform = Platform::start(known.clone(), 0);
+    let program = Program::start(&platform, &known, &[]);
+    let mut client = program.connect();
+    client.write_all(&hand_in_for(2, "once", "nowhere", 8000, b"")).unwrap();
+    assert_eq!(hear(&mut client).unwrap().status(), 429);
+    program.allow_descriptors(false);
+    client.write_all(&hand_in_for(1, "once", "held", 8000, b"")).unwrap();
+    assert_eq!(hear(&mut client).unwrap().status(), 202);
+    program.logged("code=\"connect\"", 1);
+    let mut waits = program.connect();
+    waits.write_all(&hand_in_for(1, "once", "waits", 8000, b"")).unwrap();
+    program.logged("code=\"accept\"", 1);
+    assert!(endpoint.calls.recv_timeout(Duration::from_millis(300)).is_err());
+
+    program.allow_descriptors(true);
+    assert_eq!(hear(&mut waits).unwrap().status(), 202);
+    let mut ids = [endpoint.call().id(), endpoint.call().id()];
+    ids.sort();
+    assert_eq!(ids, ["held", "waits"]);
+    program.logged("outcome=Delivered", 2);
+    assert!(!program.log().contains("outcome=ConnectFailed"));
+}
--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -1,6 +1,6 @@
 //! The built program, and stand-ins for those it speaks to: endpoints, the platform, clients.
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -345,6 +345,20 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// Has the system allow it no descriptor more than it holds, or as many as the configuration tells.
+    pub fn allow_descriptors(&self, more: bool) {
+        let folder = format!("/proc/{}/fd", self.child.id());
+        let held: Vec<usize> = std::fs::read_dir(folder)
+            .unwrap()
+            .map(|file| file.unwrap().file_name().to_str().unwrap().parse().unwrap())
+            .collect();
+        // The system counts from the lowest number that is free.
+        let next = (0..).find(|number| !held.contains(number)).unwrap();
+        let (pid, allowed) = (self.child.id().to_string(), if more { 256 } else { next });
+        let limit = format!("--nofile={allowed}:");
+        assert!(Command::new("prlimit").args(["--pid", &pid, &limit]).status().unwrap().success());
+    }
+
     /// Ends it, starts it again on the same folder, and signals it after a moment, ready or not.
     pub fn interrupt(&mut self, signal: &str, after: Duration) {
         self.child.kill().unwrap();
@@ -417,6 +431,59 @@
     hear(&mut stream)
 }
 
+/// A socket for which the other side's system holds tens of KB at most: small segments, and a small window.
+fn narrow_socket() -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(1024).unwrap();
+    socket.set_tcp_mss(88).unwrap();
+    socket
+}
+
+/// A client to which few answers can be sent before it reads them.
+pub fn narrow_client(listen: SocketAddr) -> TcpStream {
+    let socket = narrow_socket();
+    socket.connect(&listen.into()).unwrap();
+    socket.into()
+}
+
+/// More clients than the program looks at in one turn. What comes after their requests is there, but not seen yet.
+pub struct Crowd(Vec<TcpStream>);
+
+impl Crowd {
+    /// What a configuration has to be changed to for so many.
+    pub const ROOM: (&str, &str) = ("\"sockets\":256", "\"sockets\":1000");
+    const SIZE: usize = 300;
+
+    /// They connect and say nothing yet.
+    pub fn connect(program: &Program) -> Self {
+        let (before, since) = (program.descriptors(), Instant::now());
+        let mut crowd = Vec::new();
+        while crowd.len() < Self::SIZE {
+            // Fewer than the system lets wait to be accepted: one more would have to ask again after a second.
+            crowd.extend((0..50).map(|_| program.connect()));
+            // Others may end meanwhile: it need not be all of them.
+            while program.descriptors() < before + crowd.len() - 20 {
+                assert!(since.elapsed() < LONG, "they are not accepted");
+                thread::sleep(Duration::from_millis(1));
+            }
+        }
+        // Their first events, which only say that they can be written to, are over.
+        thread::sleep(Duration::from_millis(20));
+        Crowd(crowd)
+    }
+
+    pub fn speak(&mut self) {
+        for client in &mut self.0 {
+            client.write_all(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+        }
+    }
+}
+
+/// A reset: what the other side sent last may be lost with it.
+pub fn reset(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
 /// An endpoint in the test's own hands: nothing is accepted, heard or answered by itself.
 pub struct Manual(TcpListener);
 
@@ -433,6 +500,20 @@
         Manual(socket.into())
     }
 
+    /// Takes in a few KB at a time: the other side cannot send a long call at once.
+    pub fn slow(at: SocketAddr) -> Self {
+        let socket = narrow_socket();
+        socket.bind(&at.into()).unwrap();
+        socket.listen(8).unwrap();
+        Manual(socket.into())
+    }
+
+    /// No connection waits to be accepted.
+    pub fn is_left_alone(&self) -> bool {
+        self.0.set_nonblocking(true).unwrap();
+        self.0.accept().is_err()
+    }
+
     pub fn accept(&self) -> TcpStream {
         self.0.set_nonblocking(true).unwrap();
         let since = Instant::now();
--- a/crates/sender/tests/program/main.rs
+++ b/crates/sender/tests/program/main.rs
@@ -4,3 +4,4 @@
 mod descriptors;
 mod helpers;
 mod sockets;
+mod writes;
