Standard names in the sender's driver, and of errors and connections beside it

Link and links are Connection and connections, Line is EndpointConnection, Got ReadResult, Due Timer, Fault DecodeError, NoList ListError, Asked RequestHead; HUSH, SLOW_CLIENT, STILL_COMING, LAST_CALL and the like are named by what they bound; methods by what they do (set_deadline, begin_shutdown, reload_config, refuse_client, start_call, abort_call). Driver methods have doc comments. Log lines keep their codes and fields (ep, link). Call::ep, Bridge::told and the module's names stay: they stand in bridge.rs and src/.

--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -33,16 +33,16 @@
 
 /// A request, less its body. `hand_in` is there when all its lines are.
 #[derive(Debug)]
-pub struct Asked {
+pub struct RequestHead {
     method: Method,
     path: String,
     hand_in: Option<HandIn>,
 }
 
-impl Head for Asked {
+impl Head for RequestHead {
     fn decode(start: &Start, fields: &Fields) -> Self {
         let Start::Request { method, target } = *start else {
-            return Asked { method: Method::Other, path: String::new(), hand_in: None };
+            return RequestHead { method: Method::Other, path: String::new(), hand_in: None };
         };
         let method = match method {
             "GET" => Method::Get,
@@ -53,7 +53,7 @@
         // The event type is the first part of the path.
         let path = path.split('/').next().unwrap_or("").to_owned();
         let hand_in = decode_hand_in(&path, fields);
-        Asked { method, path, hand_in }
+        RequestHead { method, path, hand_in }
     }
 }
 
@@ -105,7 +105,7 @@
 #[derive(Debug)]
 pub enum Step {
     /// A request has come as a whole.
-    Serve(Message<Asked>),
+    Serve(Message<RequestHead>),
     /// What came is no request; the last answer says why.
     Refuse(u16),
     /// The client waits for leave to send the body.
@@ -120,7 +120,7 @@
 /// connection, and a reset may overtake the last answer.
 #[derive(Debug)]
 pub struct Client {
-    decoder: Decoder<Asked>,
+    decoder: Decoder<RequestHead>,
     pub stage: Stage,
     /// No request has come yet.
     pub fresh: bool,
@@ -129,13 +129,13 @@
     /// Reads that were passed over since.
     passed: usize,
     /// The webhook whose 202 is not yet written as a whole.
-    pub unheard: Option<u64>,
+    pub unacknowledged: Option<u64>,
 }
 
 impl Default for Client {
     fn default() -> Self {
         let decoder = Decoder::requests(MOST_BODY);
-        Client { decoder, stage: Stage::Idle, fresh: true, last: false, passed: 0, unheard: None }
+        Client { decoder, stage: Stage::Idle, fresh: true, last: false, passed: 0, unacknowledged: None }
     }
 }
 
@@ -190,7 +190,7 @@
 }
 
 /// Where a request leads: to a webhook, or straight to an answer.
-pub fn route(asked: Asked, event_types: &BTreeSet<String>) -> Result<HandIn, Reply> {
+pub fn route(asked: RequestHead, event_types: &BTreeSet<String>) -> Result<HandIn, Reply> {
     match (asked.method, asked.path.as_str()) {
         (Method::Get, "ready") => Err(Reply::Ready),
         (_, "ready") => Err(Reply::Status(405)),
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -17,50 +17,51 @@
 use crate::endpoints::{Call, Pool};
 use crate::journal::Journal;
 use crate::list::List;
-use budgets::{most_buffered, most_links};
+use budgets::{max_buffered, max_connections};
 use clock::Clock;
-use connection::Link;
+use connection::Connection;
 use mio::net::{TcpListener, UnixStream};
 use mio::{Interest, Poll, Token};
 use scalebarrow::Outcome;
-use signals::signals;
+use signals::signal_pipe;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use timers::Due;
+use timers::Timer;
 use tracing::{info, warn};
 
 const LISTENER: Token = Token(0);
-const SIGNALS: Token = Token(1);
-const HANG_UPS: Token = Token(2);
-const FIRST_LINK: usize = 3;
+const SHUTDOWN_SIGNALS: Token = Token(1);
+const RELOAD_SIGNALS: Token = Token(2);
+const FIRST_CONNECTION: usize = 3;
 
 /// Bytes read from one connection before others have their turn.
-const READ_STEP: usize = 64 * 1024;
-const STEPS: usize = 4;
+const READ_BUFFER: usize = 64 * 1024;
+const READS_PER_TURN: usize = 4;
 /// Requests answered, or connections accepted, before others have their turn.
-const MOST_AT_ONCE: usize = 32;
+const REQUESTS_PER_TURN: usize = 32;
 
+/// The sockets, timers and signals of a sender that serves.
 struct Driver {
     poll: Poll,
     listener: TcpListener,
-    signals: UnixStream,
-    hang_ups: UnixStream,
+    shutdown_signals: UnixStream,
+    reload_signals: UnixStream,
     /// The configuration's file.
     path: PathBuf,
     clock: Clock,
     /// The time of this turn.
     now: f64,
-    timers: BinaryHeap<Reverse<(u64, Due)>>,
-    links: BTreeMap<usize, Link>,
-    next_link: usize,
-    clients: usize,
-    lines: usize,
-    most_clients: usize,
-    most_lines: usize,
-    most_buffered: usize,
+    timers: BinaryHeap<Reverse<(u64, Timer)>>,
+    connections: BTreeMap<usize, Connection>,
+    next_connection: usize,
+    client_count: usize,
+    endpoint_count: usize,
+    max_clients: usize,
+    max_endpoints: usize,
+    max_buffered: usize,
     bridge: Bridge,
     pool: Pool,
     /// The connection that carries a webhook's call.
@@ -69,26 +70,26 @@
     failed: Vec<(Call, Outcome)>,
     discovery: SocketAddr,
     list: List,
-    list_link: Option<usize>,
+    list_connection: Option<usize>,
     list_wanted: bool,
-    notice_link: Option<usize>,
+    notice_connection: Option<usize>,
     notice_at: f64,
     /// Connections with more to read, and whether more may wait to be accepted.
-    again: BTreeSet<usize>,
+    ready_again: BTreeSet<usize>,
     accept_again: bool,
     /// Connections may wait for another one to end or to be between requests.
     accept_waits: bool,
     /// When the process ends, once it was asked to, and whether it still takes webhooks on.
     closing: Option<f64>,
-    takes: bool,
-    scratch: Vec<u8>,
+    accepts_webhooks: bool,
+    read_buffer: Vec<u8>,
 }
 
 /// Serves until SIGTERM.
 pub fn serve(config: Config, path: &Path, state: &Path) -> io::Result<()> {
     let clock = Clock::start();
     let now = clock.now();
-    let mut hang_ups = signals(&[signal_hook::consts::SIGHUP])?;
+    let mut reload_signals = signal_pipe(&[signal_hook::consts::SIGHUP])?;
     let most = config.limits.disk();
     let named = |name: String| move |e: io::Error| io::Error::new(e.kind(), format!("{name}: {e}"));
     let (journal, dropped) = Journal::open(state, most).map_err(named(state.display().to_string()))?;
@@ -100,52 +101,52 @@
     }
     let (listen, discovery) = (config.listen, config.discovery);
     let list = List::known(config.known.seq, config.asks());
-    let (most_clients, most_lines) = most_links(&config.limits);
-    let most_buffered = most_buffered(&config.limits);
+    let (max_clients, max_endpoints) = max_connections(&config.limits);
+    let max_buffered = max_buffered(&config.limits);
     let (name, (slots, holds, senders)) = (config.name.clone(), config.size());
     let list_wanted = !config.asks();
     let bridge = Bridge::open(config, journal, now);
     // Until here SIGTERM ends the process at once: it has taken nothing on. From here on it ends as planned.
-    let mut signals = signals(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
+    let mut shutdown_signals = signal_pipe(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
     // All that was taken on is back in the module: only now can a client reach this sender.
     let mut listener = TcpListener::bind(listen).map_err(named(format!("listen on {listen}")))?;
     let poll = Poll::new()?;
     poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
-    poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
-    poll.registry().register(&mut hang_ups, HANG_UPS, Interest::READABLE)?;
+    poll.registry().register(&mut shutdown_signals, SHUTDOWN_SIGNALS, Interest::READABLE)?;
+    poll.registry().register(&mut reload_signals, RELOAD_SIGNALS, Interest::READABLE)?;
     info!(name, %listen, slots, holds, senders, "serving");
     let mut driver = Driver {
         poll,
         listener,
-        signals,
-        hang_ups,
+        shutdown_signals,
+        reload_signals,
         path: path.to_owned(),
         clock,
         now,
         timers: BinaryHeap::new(),
-        links: BTreeMap::new(),
-        next_link: FIRST_LINK,
-        clients: 0,
-        lines: 0,
-        most_clients,
-        most_lines,
-        most_buffered,
+        connections: BTreeMap::new(),
+        next_connection: FIRST_CONNECTION,
+        client_count: 0,
+        endpoint_count: 0,
+        max_clients,
+        max_endpoints,
+        max_buffered,
         bridge,
         pool: Pool::default(),
         calls: BTreeMap::new(),
         failed: Vec::new(),
         discovery,
         list,
-        list_link: None,
+        list_connection: None,
         list_wanted,
-        notice_link: None,
+        notice_connection: None,
         notice_at: 0.0,
-        again: BTreeSet::new(),
+        ready_again: BTreeSet::new(),
         accept_again: false,
         accept_waits: false,
         closing: None,
-        takes: true,
-        scratch: vec![0; READ_STEP],
+        accepts_webhooks: true,
+        read_buffer: vec![0; READ_BUFFER],
     };
     driver.run()
 }
--- a/crates/sender/src/driver/connection.rs
+++ b/crates/sender/src/driver/connection.rs
@@ -2,7 +2,7 @@
 
 use super::Driver;
 use crate::clients::Client;
-use crate::endpoints::Line;
+use crate::endpoints::EndpointConnection;
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use scalebarrow::Outcome;
@@ -53,7 +53,7 @@
 /// Who is at the other end of a connection.
 pub(super) enum Peer {
     Client(Client),
-    Endpoint(Line),
+    Endpoint(EndpointConnection),
     List,
     Notices,
 }
@@ -70,30 +70,31 @@
 }
 
 /// One connection.
-pub(super) struct Link {
+pub(super) struct Connection {
     pub(super) stream: TcpStream,
     pub(super) addr: SocketAddr,
     pub(super) peer: Peer,
     /// False while the connection is coming up.
     pub(super) up: bool,
+    /// What is to be written, and how much of it is.
     pub(super) out: Vec<u8>,
     pub(super) sent: usize,
     /// When something must have happened, and when that is looked at next.
-    pub(super) due: f64,
+    pub(super) deadline: f64,
     pub(super) timer: f64,
     /// Why its end was begun, where it was.
     pub(super) ends: Option<Reason>,
 }
 
 /// What a read brought.
-pub(super) enum Got {
+pub(super) enum ReadResult {
     Bytes(usize),
     Nothing,
     End(Reason),
 }
 
 /// The connection is up; false where it is still on its way.
-fn came_up(stream: &TcpStream) -> io::Result<bool> {
+fn is_connected(stream: &TcpStream) -> io::Result<bool> {
     if let Some(e) = stream.take_error()? {
         return Err(e);
     }
@@ -105,12 +106,12 @@
 }
 
 /// Nothing came and the other side has not ended.
-pub(super) fn is_quiet(stream: &TcpStream) -> bool {
+pub(super) fn nothing_to_read(stream: &TcpStream) -> bool {
     matches!(stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
 }
 
 /// The other side has ended its sending, or the connection is broken.
-pub(super) fn is_gone(stream: &TcpStream) -> bool {
+pub(super) fn has_ended(stream: &TcpStream) -> bool {
     match stream.peek(&mut [0]) {
         Ok(count) => count == 0,
         Err(e) => e.kind() != ErrorKind::WouldBlock,
@@ -118,118 +119,124 @@
 }
 
 impl Driver {
+    /// Takes a connection in among those that are watched and returns its number.
     pub(super) fn add(
         &mut self, mut stream: TcpStream, addr: SocketAddr, peer: Peer, up: bool,
     ) -> io::Result<usize> {
-        let link = self.next_link;
-        self.next_link += 1;
+        let id = self.next_connection;
+        self.next_connection += 1;
         let both = Interest::READABLE | Interest::WRITABLE;
-        self.poll.registry().register(&mut stream, Token(link), both)?;
+        self.poll.registry().register(&mut stream, Token(id), both)?;
         // Without it a small message may wait for the answer to the one before; not vital.
         let _ = stream.set_nodelay(true);
         match &peer {
-            Peer::Client(_) => self.clients += 1,
-            Peer::Endpoint(_) => self.lines += 1,
+            Peer::Client(_) => self.client_count += 1,
+            Peer::Endpoint(_) => self.endpoint_count += 1,
             _ => {}
         }
-        let (out, sent, due, timer, ends) = (Vec::new(), 0, f64::INFINITY, f64::INFINITY, None);
-        self.links.insert(link, Link { stream, addr, peer, up, out, sent, due, timer, ends });
-        Ok(link)
+        let (out, sent, deadline, timer, ends) = (Vec::new(), 0, f64::INFINITY, f64::INFINITY, None);
+        self.connections.insert(id, Connection { stream, addr, peer, up, out, sent, deadline, timer, ends });
+        Ok(id)
     }
 
+    /// Begins to open a connection.
     pub(super) fn connect(&mut self, addr: SocketAddr, peer: Peer) -> io::Result<usize> {
         let stream = TcpStream::connect(addr)?;
         self.add(stream, addr, peer, false)
     }
 
-    pub(super) fn close(&mut self, link: usize, reason: Reason) {
-        let Some(mut l) = self.links.remove(&link) else { return };
-        let _ = self.poll.registry().deregister(&mut l.stream);
-        self.again.remove(&link);
-        let ep = if let Peer::Endpoint(line) = &l.peer { Some(line.ep.as_str()) } else { None };
-        let reason = l.ends.unwrap_or(reason);
-        info!(peer = l.peer.name(), code = reason.code(), ep, addr = %l.addr, link, "connection ended");
-        match l.peer {
+    /// Closes a connection and forgets what was on it.
+    pub(super) fn close(&mut self, id: usize, reason: Reason) {
+        let Some(mut connection) = self.connections.remove(&id) else { return };
+        let _ = self.poll.registry().deregister(&mut connection.stream);
+        self.ready_again.remove(&id);
+        let ep =
+            if let Peer::Endpoint(endpoint) = &connection.peer { Some(endpoint.name.as_str()) } else { None };
+        let reason = connection.ends.unwrap_or(reason);
+        info!(peer = connection.peer.name(), code = reason.code(), ep, addr = %connection.addr, link = id, "connection ended");
+        match connection.peer {
             Peer::Client(client) => {
-                self.clients -= 1;
+                self.client_count -= 1;
                 self.accept_again |= self.accept_waits;
-                if let Some(number) = client.unheard {
+                if let Some(number) = client.unacknowledged {
                     self.bridge.withdrawn(self.now, number);
                 }
             }
-            Peer::Endpoint(line) => {
-                self.lines -= 1;
-                self.pool.remove(&line.ep, link);
-                for (number, _) in line.call.iter().flat_map(|c| &c.webhooks) {
+            Peer::Endpoint(endpoint) => {
+                self.endpoint_count -= 1;
+                self.pool.remove(&endpoint.name, id);
+                for (number, _) in endpoint.call.iter().flat_map(|c| &c.webhooks) {
                     self.calls.remove(number);
                 }
             }
-            Peer::List => self.list_link = None,
-            Peer::Notices => self.notice_link = None,
+            Peer::List => self.list_connection = None,
+            Peer::Notices => self.notice_connection = None,
         }
     }
 
-    pub(super) fn ready(&mut self, link: usize) {
-        let Some(l) = self.links.get_mut(&link) else { return };
-        if !l.up {
-            match came_up(&l.stream) {
-                Ok(true) => l.up = true,
+    /// Something may be read from a connection or written to it, or it has come up.
+    pub(super) fn ready(&mut self, id: usize) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if !connection.up {
+            match is_connected(&connection.stream) {
+                Ok(true) => connection.up = true,
                 Ok(false) => return,
-                Err(_) => return self.broke(link, Reason::NotUp),
+                Err(_) => return self.connection_failed(id, Reason::NotUp),
             }
-            if matches!(l.peer, Peer::Endpoint(_)) {
-                return self.send_call(link);
+            if matches!(connection.peer, Peer::Endpoint(_)) {
+                return self.send_call(id);
             }
         }
-        match l.peer {
-            Peer::Client(_) => self.client_ready(link),
-            Peer::Endpoint(_) => self.endpoint_ready(link),
-            Peer::List => self.list_ready(link),
-            Peer::Notices => self.notices_ready(link),
+        match connection.peer {
+            Peer::Client(_) => self.client_ready(id),
+            Peer::Endpoint(_) => self.endpoint_ready(id),
+            Peer::List => self.list_ready(id),
+            Peer::Notices => self.notices_ready(id),
         }
     }
 
-    fn broke(&mut self, link: usize, reason: Reason) {
-        match self.links.get(&link).map(|l| &l.peer) {
-            Some(Peer::Client(_)) => self.close(link, reason),
-            Some(Peer::Endpoint(_)) => self.cut(link, Outcome::Reset, reason),
-            Some(Peer::List) => self.list_broke(reason),
-            Some(Peer::Notices) => self.notices_broke(reason),
+    fn connection_failed(&mut self, id: usize, reason: Reason) {
+        match self.connections.get(&id).map(|connection| &connection.peer) {
+            Some(Peer::Client(_)) => self.close(id, reason),
+            Some(Peer::Endpoint(_)) => self.abort_call(id, Outcome::Reset, reason),
+            Some(Peer::List) => self.list_failed(reason),
+            Some(Peer::Notices) => self.notices_failed(reason),
             None => {}
         }
     }
 
     /// Writes what is to be written. False where the connection is broken.
-    pub(super) fn flush(&mut self, link: usize) -> bool {
-        let Some(l) = self.links.get_mut(&link) else { return false };
-        while l.sent < l.out.len() {
-            match l.stream.write(&l.out[l.sent..]) {
+    pub(super) fn flush(&mut self, id: usize) -> bool {
+        let Some(connection) = self.connections.get_mut(&id) else { return false };
+        while connection.sent < connection.out.len() {
+            match connection.stream.write(&connection.out[connection.sent..]) {
                 Ok(0) => return false,
-                Ok(count) => l.sent += count,
+                Ok(count) => connection.sent += count,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
                 Err(_) => return false,
             }
         }
-        l.out.clear();
-        l.sent = 0;
-        match &mut l.peer {
-            Peer::Client(client) => client.unheard = None,
-            Peer::Endpoint(Line { call: Some(call), .. }) => call.written = true,
+        connection.out.clear();
+        connection.sent = 0;
+        match &mut connection.peer {
+            Peer::Client(client) => client.unacknowledged = None,
+            Peer::Endpoint(EndpointConnection { call: Some(call), .. }) => call.written = true,
             _ => {}
         }
         true
     }
 
-    pub(super) fn read(&mut self, link: usize) -> Got {
-        let Some(l) = self.links.get_mut(&link) else { return Got::Nothing };
+    /// Reads what has come, up to the size of the buffer.
+    pub(super) fn read(&mut self, id: usize) -> ReadResult {
+        let Some(connection) = self.connections.get_mut(&id) else { return ReadResult::Nothing };
         loop {
-            return match l.stream.read(&mut self.scratch) {
-                Ok(0) => Got::End(Reason::PeerClosed),
-                Ok(count) => Got::Bytes(count),
+            return match connection.stream.read(&mut self.read_buffer) {
+                Ok(0) => ReadResult::End(Reason::PeerClosed),
+                Ok(count) => ReadResult::Bytes(count),
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => Got::Nothing,
-                Err(_) => Got::End(Reason::PeerReset),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => ReadResult::Nothing,
+                Err(_) => ReadResult::End(Reason::PeerReset),
             };
         }
     }
--- a/crates/sender/src/driver/list.rs
+++ b/crates/sender/src/driver/list.rs
@@ -1,68 +1,72 @@
 //! The connection on which the platform tells its list of endpoints.
 
-use super::connection::{Got, Peer, Reason};
-use super::timers::Due;
-use super::{Driver, STEPS};
-use crate::list::NoList;
+use super::connection::{Peer, ReadResult, Reason};
+use super::timers::Timer;
+use super::{Driver, READS_PER_TURN};
+use crate::list::ListError;
 use tracing::debug;
 
 /// Between two tries to reach the platform's list.
-const LIST_PAUSE: f64 = 0.1;
+const LIST_RETRY_PAUSE: f64 = 0.1;
 
 impl Driver {
+    /// Opens the connection and asks for the list.
     pub(super) fn open_list(&mut self) {
         match self.connect(self.discovery, Peer::List) {
-            Ok(link) => {
-                self.list_link = Some(link);
-                self.call_list(link);
+            Ok(id) => {
+                self.list_connection = Some(id);
+                self.request_list(id);
             }
-            Err(_) => self.list_broke(Reason::NotUp),
+            Err(_) => self.list_failed(Reason::NotUp),
         }
     }
 
-    fn call_list(&mut self, link: usize) {
+    /// Puts the next request for the list on the connection.
+    fn request_list(&mut self, id: usize) {
         let (call, patience) = self.list.call(&self.discovery);
         debug!(code = "list-call", version = self.list.version(), "the list is asked for");
-        if let Some(l) = self.links.get_mut(&link) {
-            (l.out, l.sent) = (call, 0);
+        if let Some(connection) = self.connections.get_mut(&id) {
+            (connection.out, connection.sent) = (call, 0);
         }
-        self.set_due(link, self.now + patience);
+        self.set_deadline(id, self.now + patience);
     }
 
-    pub(super) fn list_ready(&mut self, link: usize) {
-        if !self.flush(link) {
-            return self.list_broke(Reason::PeerReset);
+    /// Reads the list or what changed in it.
+    pub(super) fn list_ready(&mut self, id: usize) {
+        if !self.flush(id) {
+            return self.list_failed(Reason::PeerReset);
         }
-        for _ in 0..STEPS {
-            let count = match self.read(link) {
-                Got::Bytes(count) => count,
-                Got::Nothing => return,
-                Got::End(reason) => return self.list_broke(reason),
+        for _ in 0..READS_PER_TURN {
+            let count = match self.read(id) {
+                ReadResult::Bytes(count) => count,
+                ReadResult::Nothing => return,
+                ReadResult::End(reason) => return self.list_failed(reason),
             };
-            match self.list.feed(&self.scratch[..count]) {
+            match self.list.feed(&self.read_buffer[..count]) {
                 Ok(None) => {}
                 Ok(Some((news, keep))) => {
                     self.bridge.list(self.now, &news, false);
                     if !keep {
-                        self.close(link, Reason::Answered);
+                        self.close(id, Reason::Answered);
                         return self.open_list();
                     }
                     // At once: a watch stands only as long as the next call follows soon.
-                    self.call_list(link);
-                    if !self.flush(link) {
-                        return self.list_broke(Reason::PeerReset);
+                    self.request_list(id);
+                    if !self.flush(id) {
+                        return self.list_failed(Reason::PeerReset);
                     }
                 }
-                Err(NoList::Refused) => return self.list_broke(Reason::Refused),
-                Err(NoList::Garbage) => return self.list_broke(Reason::BadMessage),
+                Err(ListError::Refused) => return self.list_failed(Reason::Refused),
+                Err(ListError::Garbage) => return self.list_failed(Reason::BadMessage),
             }
         }
-        self.again.insert(link);
+        self.ready_again.insert(id);
     }
 
-    pub(super) fn list_broke(&mut self, reason: Reason) {
-        if let Some(link) = self.list_link {
-            self.close(link, reason);
+    /// The list could not be had. It is asked for again at once, after a pause, or when the module says so.
+    pub(super) fn list_failed(&mut self, reason: Reason) {
+        if let Some(id) = self.list_connection {
+            self.close(id, reason);
         }
         if reason == Reason::Refused {
             self.list.refused();
@@ -73,7 +77,7 @@
         if self.bridge.config().asks() {
             self.bridge.no_list(self.now);
         } else {
-            self.at(self.now + LIST_PAUSE, Due::List);
+            self.set_timer(self.now + LIST_RETRY_PAUSE, Timer::List);
         }
     }
 }
--- a/crates/sender/src/driver/notices.rs
+++ b/crates/sender/src/driver/notices.rs
@@ -1,61 +1,64 @@
 //! The connection on which the platform is sent notices of final answers.
 
 use super::Driver;
-use super::connection::{Got, Peer, Reason, is_quiet};
-use super::timers::Due;
+use super::connection::{Peer, ReadResult, Reason, nothing_to_read};
+use super::timers::Timer;
 use crate::notices;
 
 impl Driver {
+    /// Sends what is owed, over the connection that is there or a new one.
     pub(super) fn send_notice(&mut self) {
-        if let Some(link) = self.notice_link
-            && self.links.get(&link).is_some_and(|l| !is_quiet(&l.stream))
+        if let Some(id) = self.notice_connection
+            && self.connections.get(&id).is_some_and(|connection| !nothing_to_read(&connection.stream))
         {
-            self.close(link, Reason::Stale);
+            self.close(id, Reason::Stale);
         }
-        let link = match self.notice_link {
-            Some(link) => Ok(link),
+        let id = match self.notice_connection {
+            Some(id) => Ok(id),
             None => self.connect(self.discovery, Peer::Notices),
         };
-        let Ok(link) = link else { return self.notices_broke(Reason::NotUp) };
-        self.notice_link = Some(link);
+        let Ok(id) = id else { return self.notices_failed(Reason::NotUp) };
+        self.notice_connection = Some(id);
         let call = self.bridge.notice(&self.discovery);
-        if let Some(l) = self.links.get_mut(&link) {
-            (l.out, l.sent) = (call, 0);
-            let up = l.up;
-            self.set_due(link, self.now + notices::PATIENCE);
+        if let Some(connection) = self.connections.get_mut(&id) {
+            (connection.out, connection.sent) = (call, 0);
+            let up = connection.up;
+            self.set_deadline(id, self.now + notices::PATIENCE);
             if up {
-                self.notices_ready(link);
+                self.notices_ready(id);
             }
         }
     }
 
-    pub(super) fn notices_ready(&mut self, link: usize) {
-        if !self.flush(link) {
-            return self.notices_broke(Reason::PeerReset);
+    /// Writes the notice and reads its acknowledgement.
+    pub(super) fn notices_ready(&mut self, id: usize) {
+        if !self.flush(id) {
+            return self.notices_failed(Reason::PeerReset);
         }
-        match self.read(link) {
-            Got::Nothing => {}
-            Got::End(reason) => self.notices_broke(reason),
-            Got::Bytes(count) => match self.bridge.notices.feed(&self.scratch[..count]) {
-                Ok(None) => _ = self.again.insert(link),
-                Ok(Some((told, keep))) => {
-                    self.bridge.told(&told);
-                    self.set_due(link, f64::INFINITY);
+        match self.read(id) {
+            ReadResult::Nothing => {}
+            ReadResult::End(reason) => self.notices_failed(reason),
+            ReadResult::Bytes(count) => match self.bridge.notices.feed(&self.read_buffer[..count]) {
+                Ok(None) => _ = self.ready_again.insert(id),
+                Ok(Some((acknowledged, keep))) => {
+                    self.bridge.told(&acknowledged);
+                    self.set_deadline(id, f64::INFINITY);
                     if !keep {
-                        self.close(link, Reason::Answered);
+                        self.close(id, Reason::Answered);
                     }
                 }
-                Err(_) => self.notices_broke(Reason::BadMessage),
+                Err(_) => self.notices_failed(Reason::BadMessage),
             },
         }
     }
 
-    pub(super) fn notices_broke(&mut self, reason: Reason) {
-        if let Some(link) = self.notice_link {
-            self.close(link, reason);
+    /// The notice was not acknowledged: it is sent again after a pause.
+    pub(super) fn notices_failed(&mut self, reason: Reason) {
+        if let Some(id) = self.notice_connection {
+            self.close(id, reason);
         }
         self.bridge.notices.broken();
         self.notice_at = self.now + notices::PAUSE;
-        self.at(self.notice_at, Due::Notices);
+        self.set_timer(self.notice_at, Timer::Notices);
     }
 }
--- a/crates/sender/src/driver/signals.rs
+++ b/crates/sender/src/driver/signals.rs
@@ -1,24 +1,24 @@
 //! Signals: SIGTERM and SIGINT end the process in order, SIGHUP has the configuration read again.
 
 use super::Driver;
-use super::budgets::{most_buffered, most_links};
-use super::clients::{HUSH, SLOW_CLIENT};
+use super::budgets::{max_buffered, max_connections};
+use super::clients::{REQUEST_TIMEOUT, SILENT_CLIENT};
 use super::connection::{Peer, Reason};
-use super::timers::Due;
+use super::timers::Timer;
 use crate::clients::{Reply, Stage};
 use mio::net::UnixStream;
 use std::io::{self, Read};
 use tracing::{info, warn};
 
 /// From SIGTERM to the end: the platform kills after 3.7 s.
-const CLOSING: f64 = 3.3;
+const SHUTDOWN_TIMEOUT: f64 = 3.3;
 /// New connections keep coming for up to 0.4 s after SIGTERM.
-const STILL_COMING: f64 = 0.6;
+const SHUTDOWN_MIN: f64 = 0.6;
 /// So long before the end, whoever is still there is told that nothing more is taken on, and the connection is shut.
-pub(super) const LAST_CALL: f64 = 0.2;
+pub(super) const FINAL_REFUSAL: f64 = 0.2;
 
 /// The end of a pipe from which the signals can be read.
-pub(super) fn signals(numbers: &[i32]) -> io::Result<UnixStream> {
+pub(super) fn signal_pipe(numbers: &[i32]) -> io::Result<UnixStream> {
     let (write, read) = UnixStream::pair()?;
     let write = std::os::fd::OwnedFd::from(write);
     for number in numbers {
@@ -28,66 +28,68 @@
 }
 
 impl Driver {
-    pub(super) fn signalled(&mut self) {
-        while matches!(self.signals.read(&mut [0; 64]), Ok(count) if count > 0) {}
+    /// The process was asked to end: it goes on for a while, so that requests and calls on their way are answered.
+    pub(super) fn begin_shutdown(&mut self) {
+        while matches!(self.shutdown_signals.read(&mut [0; 64]), Ok(count) if count > 0) {}
         if self.closing.is_some() {
             return;
         }
-        let end = self.now + CLOSING;
+        let end = self.now + SHUTDOWN_TIMEOUT;
         self.closing = Some(end);
         info!(code = "closing", "no further use of connections");
         self.bridge.closing(self.now, end);
-        self.at(self.now + STILL_COMING, Due::Exit);
-        let clients = self.links.iter_mut().filter_map(|(link, l)| match &mut l.peer {
+        self.set_timer(self.now + SHUTDOWN_MIN, Timer::Exit);
+        let clients = self.connections.iter_mut().filter_map(|(id, connection)| match &mut connection.peer {
             Peer::Client(client) => {
                 // Who has connected this moment is about to ask, as those are who come after the signal.
-                client.fresh &= self.now <= l.due - SLOW_CLIENT + HUSH;
-                Some(*link)
+                client.fresh &= self.now <= connection.deadline - REQUEST_TIMEOUT + SILENT_CLIENT;
+                Some(*id)
             }
             _ => None,
         });
         // A request that has come already is answered before its connection ends.
-        self.again.extend(clients);
+        self.ready_again.extend(clients);
     }
 
     /// Nothing more is taken on, and every client hears of it before the process ends.
-    pub(super) fn last_call(&mut self) {
-        self.takes = false;
-        for link in self.links.keys().copied().collect::<Vec<_>>() {
-            match self.links.get(&link).map(|l| &l.peer) {
-                Some(Peer::Client(c)) if c.stage == Stage::Idle => self.end_client(link, Reason::Closing),
+    pub(super) fn refuse_remaining_clients(&mut self) {
+        self.accepts_webhooks = false;
+        for id in self.connections.keys().copied().collect::<Vec<_>>() {
+            match self.connections.get(&id).map(|connection| &connection.peer) {
+                Some(Peer::Client(c)) if c.stage == Stage::Idle => self.end_client(id, Reason::Closing),
                 Some(Peer::Client(c)) if c.stage == Stage::Reading => {
-                    self.turn_away(link, Reply::NoRoom);
-                    self.client_ready(link);
+                    self.refuse_client(id, Reply::NoRoom);
+                    self.client_ready(id);
                 }
                 _ => {}
             }
         }
     }
 
-    pub(super) fn exit(&mut self) -> bool {
-        let links: Vec<usize> = self.links.keys().copied().collect();
-        for link in links {
+    /// Closes all connections. True: the process ends.
+    pub(super) fn finish_shutdown(&mut self) -> bool {
+        let connections: Vec<usize> = self.connections.keys().copied().collect();
+        for id in connections {
             // An answer that has come already counts.
-            let peer = self.links.get(&link).map(|l| &l.peer);
-            if matches!(peer, Some(Peer::Endpoint(line)) if line.call.is_some()) {
-                self.endpoint_ready(link);
+            let peer = self.connections.get(&id).map(|connection| &connection.peer);
+            if matches!(peer, Some(Peer::Endpoint(endpoint)) if endpoint.call.is_some()) {
+                self.endpoint_ready(id);
             }
-            self.close(link, Reason::Closing);
+            self.close(id, Reason::Closing);
         }
         info!(code = "ended", "asked to end");
         true
     }
 
     /// The configuration's file is read again. A faulty one changes nothing.
-    pub(super) fn reread(&mut self) {
-        while matches!(self.hang_ups.read(&mut [0; 64]), Ok(count) if count > 0) {}
+    pub(super) fn reload_config(&mut self) {
+        while matches!(self.reload_signals.read(&mut [0; 64]), Ok(count) if count > 0) {}
         let config = match self.bridge.config().reread(&self.path) {
             Ok(config) => config,
             Err(why) => return warn!(code = "config-kept", why, "the configuration stays as it was"),
         };
-        (self.most_clients, self.most_lines) = most_links(&config.limits);
-        self.most_buffered = most_buffered(&config.limits);
+        (self.max_clients, self.max_endpoints) = max_connections(&config.limits);
+        self.max_buffered = max_buffered(&config.limits);
         let moved = std::mem::replace(&mut self.discovery, config.discovery) != config.discovery;
         info!(code = "config-read", discovery = %config.discovery, moved, "the configuration was read again");
         self.bridge.reread(config);
@@ -95,13 +97,13 @@
             // Both are taken up again at the new address when the turn ends, whatever pause the old one was given.
             self.list.moved();
             self.list_wanted = true;
-            if let Some(link) = self.list_link {
-                self.close(link, Reason::Moved);
+            if let Some(id) = self.list_connection {
+                self.close(id, Reason::Moved);
             }
             self.bridge.notices.broken();
             self.notice_at = self.now;
-            if let Some(link) = self.notice_link {
-                self.close(link, Reason::Moved);
+            if let Some(id) = self.notice_connection {
+                self.close(id, Reason::Moved);
             }
         }
     }
--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -98,7 +98,7 @@
         return Some(vec![answer.head.ending(ids.len() == 1); ids.len()]);
     }
     let text = std::str::from_utf8(&answer.body).ok()?;
-    let mut told = BTreeMap::new();
+    let mut results = BTreeMap::new();
     for line in text.lines().filter(|l| !l.is_empty()) {
         let (id, word) = line.split_once(' ')?;
         let ending = match word.trim() {
@@ -109,10 +109,10 @@
             "exhausted" => Outcome::Moot(false).into(),
             _ => return None,
         };
-        told.insert(id, ending);
+        results.insert(id, ending);
     }
     // One that the answer leaves out may have run.
-    Some(ids.iter().map(|id| told.get(id).copied().unwrap_or(Outcome::Failed.into())).collect())
+    Some(ids.iter().map(|id| results.get(id).copied().unwrap_or(Outcome::Failed.into())).collect())
 }
 
 /// A call that waits for its connection, or is out on it.
@@ -132,19 +132,21 @@
 
 /// One connection to an endpoint. It carries one call at a time.
 #[derive(Debug)]
-pub struct Line {
-    pub ep: String,
+pub struct EndpointConnection {
+    /// The endpoint's name in the list.
+    pub name: String,
+    /// The call that waits for the connection, or is out on it.
     pub call: Option<Call>,
     pub decoder: Decoder<Answer>,
 }
 
-impl Line {
-    pub fn new(ep: String) -> Self {
-        Line { ep, call: None, decoder: Decoder::answers(MOST_ANSWER) }
+impl EndpointConnection {
+    pub fn new(name: String) -> Self {
+        EndpointConnection { name, call: None, decoder: Decoder::answers(MOST_ANSWER) }
     }
 
-    /// How the call ended when the connection broke, or the sender stopped waiting (`else_as`).
-    pub fn cut_short(&mut self, call: &Call, else_as: Outcome) -> (Vec<Ending>, Answer) {
+    /// How the call ended when the connection broke, or the sender stopped waiting (`otherwise`).
+    pub fn cut_short(&mut self, call: &Call, otherwise: Outcome) -> (Vec<Ending>, Answer) {
         let count = call.webhooks.len();
         if let Some(answer) = self.decoder.ended() {
             let ids: Vec<&str> = call.webhooks.iter().map(|w| w.1.as_str()).collect();
@@ -156,7 +158,7 @@
         let status = self.decoder.head().map(|h| h.status).or_else(|| self.decoder.first_line());
         let outcome = match status {
             Some(200) if count == 1 => Outcome::Delivered,
-            _ if call.written => else_as,
+            _ if call.written => otherwise,
             _ => Outcome::ConnectFailed,
         };
         (vec![outcome.into(); count], Answer::default())
@@ -168,24 +170,24 @@
 pub struct Pool(BTreeMap<String, Vec<usize>>);
 
 impl Pool {
-    pub fn put(&mut self, ep: &str, line: usize) {
-        self.0.entry(ep.to_owned()).or_default().push(line);
+    pub fn put(&mut self, endpoint: &str, connection: usize) {
+        self.0.entry(endpoint.to_owned()).or_default().push(connection);
     }
 
     /// The connection that was used last: it is the least likely to be closing.
-    pub fn take(&mut self, ep: &str) -> Option<usize> {
-        self.0.get_mut(ep)?.pop()
+    pub fn take(&mut self, endpoint: &str) -> Option<usize> {
+        self.0.get_mut(endpoint)?.pop()
     }
 
-    pub fn remove(&mut self, ep: &str, line: usize) {
-        if let Some(lines) = self.0.get_mut(ep) {
-            lines.retain(|l| *l != line);
+    pub fn remove(&mut self, endpoint: &str, connection: usize) {
+        if let Some(connections) = self.0.get_mut(endpoint) {
+            connections.retain(|other| *other != connection);
         }
-        self.0.retain(|_, lines| !lines.is_empty());
+        self.0.retain(|_, connections| !connections.is_empty());
     }
 
-    pub fn take_all(&mut self, ep: &str) -> Vec<usize> {
-        self.0.remove(ep).unwrap_or_default()
+    pub fn take_all(&mut self, endpoint: &str) -> Vec<usize> {
+        self.0.remove(endpoint).unwrap_or_default()
     }
 
     /// One to close where descriptors are short: the one opened first.
--- a/crates/sender/src/endpoints/tests.rs
+++ b/crates/sender/src/endpoints/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
-use crate::http::Fault;
+use crate::http::DecodeError;
 
-fn answer(bytes: &str) -> Result<Option<Message<Answer>>, Fault> {
+fn answer(bytes: &str) -> Result<Option<Message<Answer>>, DecodeError> {
     let mut decoder = Decoder::answers(MOST_ANSWER);
     decoder.feed(bytes.as_bytes());
     decoder.message()
@@ -85,10 +85,10 @@
         let webhooks: Vec<_> = ["a", "b"][..count].iter().map(|id| (1, id.to_string())).collect();
         let (ep, zone, bytes) = (String::from("e"), String::new(), Vec::new());
         let call = Call { ep: ep.clone(), zone, webhooks, decided_at: 0.0, stop_at: 1.0, bytes, written };
-        let mut line = Line::new(ep);
-        line.decoder.feed(came.as_bytes());
-        let _ = line.decoder.message();
-        let (found, _) = line.cut_short(&call, Outcome::Reset);
+        let mut connection = EndpointConnection::new(ep);
+        connection.decoder.feed(came.as_bytes());
+        let _ = connection.decoder.message();
+        let (found, _) = connection.cut_short(&call, Outcome::Reset);
         assert_eq!(found, vec![Ending::from(wanted); count], "{came:?} {written}");
     }
 }
--- a/crates/sender/src/http.rs
+++ b/crates/sender/src/http.rs
@@ -14,20 +14,20 @@
 
 /// Why a message cannot be read; its connection is of no further use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
+pub enum DecodeError {
     Malformed,
     BodyTooBig,
     HeadTooBig,
     UnknownCoding,
 }
 
-impl Fault {
+impl DecodeError {
     pub fn status(self) -> u16 {
         match self {
-            Fault::Malformed => 400,
-            Fault::BodyTooBig => 413,
-            Fault::HeadTooBig => 431,
-            Fault::UnknownCoding => 501,
+            DecodeError::Malformed => 400,
+            DecodeError::BodyTooBig => 413,
+            DecodeError::HeadTooBig => 431,
+            DecodeError::UnknownCoding => 501,
         }
     }
 }
@@ -148,7 +148,7 @@
     }
 
     /// The next message, if all of it has come.
-    pub fn message(&mut self) -> Result<Option<Message<H>>, Fault> {
+    pub fn message(&mut self) -> Result<Option<Message<H>>, DecodeError> {
         loop {
             match self.framing {
                 Framing::Head => {
@@ -171,18 +171,18 @@
                 Framing::ChunkSize => match parse_chunk_size(&self.buf) {
                     Ok(Complete((line, size))) => {
                         if size > (self.most_body - self.body.len()) as u64 {
-                            return Err(Fault::BodyTooBig);
+                            return Err(DecodeError::BodyTooBig);
                         }
                         self.buf.drain(..line);
                         self.framing =
                             if size == 0 { Framing::Trailer } else { Framing::Chunk(size as usize) };
                     }
                     Ok(Partial) if self.buf.len() < MOST_CHUNK_LINE => return Ok(None),
-                    _ => return Err(Fault::Malformed),
+                    _ => return Err(DecodeError::Malformed),
                 },
                 Framing::ChunkEnd => {
                     if !b"\r\n".starts_with(&self.buf[..self.buf.len().min(2)]) {
-                        return Err(Fault::Malformed);
+                        return Err(DecodeError::Malformed);
                     }
                     if self.buf.len() < 2 {
                         return Ok(None);
@@ -193,7 +193,7 @@
                 Framing::Trailer => {
                     let Some(end) = self.buf.iter().position(|b| *b == b'\n') else {
                         let most = self.buf.len() > MOST_HEAD;
-                        return if most { Err(Fault::HeadTooBig) } else { Ok(None) };
+                        return if most { Err(DecodeError::HeadTooBig) } else { Ok(None) };
                     };
                     let line: Vec<u8> = self.buf.drain(..=end).collect();
                     if line.trim_ascii().is_empty() {
@@ -202,7 +202,7 @@
                 }
                 Framing::UntilClose => {
                     if self.body.len() + self.buf.len() > self.most_body {
-                        return Err(Fault::BodyTooBig);
+                        return Err(DecodeError::BodyTooBig);
                     }
                     self.move_body(usize::MAX);
                     return Ok(None);
@@ -234,11 +234,11 @@
     }
 
     /// True when the head is there and its framing is known.
-    fn read_head(&mut self) -> Result<bool, Fault> {
+    fn read_head(&mut self) -> Result<bool, DecodeError> {
         // A head is looked at again only when a line has ended: bytewise feeding must not cost its square.
         if self.buf.is_empty() || (self.seen > 0 && !self.buf[self.seen..].contains(&b'\n')) {
             self.seen = self.buf.len();
-            return if self.seen > MOST_HEAD { Err(Fault::HeadTooBig) } else { Ok(false) };
+            return if self.seen > MOST_HEAD { Err(DecodeError::HeadTooBig) } else { Ok(false) };
         }
         let mut lines = [EMPTY_HEADER; MOST_LINES];
         let (status, version, start, fields);
@@ -260,8 +260,8 @@
                 self.seen = self.buf.len();
                 return Ok(false);
             }
-            Ok(_) | Err(Error::TooManyHeaders) => return Err(Fault::HeadTooBig),
-            Err(_) => return Err(Fault::Malformed),
+            Ok(_) | Err(Error::TooManyHeaders) => return Err(DecodeError::HeadTooBig),
+            Err(_) => return Err(DecodeError::Malformed),
         };
         let framing = framing(&start, &fields, self.most_body)?;
         let modern = version == Some(1);
@@ -284,31 +284,31 @@
 }
 
 /// How the body is delimited (RFC 9112, 6.3).
-fn framing(start: &Start, fields: &Fields, most_body: usize) -> Result<Framing, Fault> {
+fn framing(start: &Start, fields: &Fields, most_body: usize) -> Result<Framing, DecodeError> {
     let mut lengths = fields.all("Content-Length");
     let length = lengths.next();
     let coded = fields.all("Transfer-Encoding").next();
     // Two lengths, or a length and a coding, are how one request is smuggled in another.
     if lengths.next().is_some() || (length.is_some() && coded.is_some()) {
-        return Err(Fault::Malformed);
+        return Err(DecodeError::Malformed);
     }
     if matches!(start, Start::Answer { status: 100..200 | 204 | 304 }) {
         return Ok(Framing::Length(0));
     }
     if let Some(coding) = coded {
         let plain = coding.eq_ignore_ascii_case(b"chunked");
-        return if plain { Ok(Framing::ChunkSize) } else { Err(Fault::UnknownCoding) };
+        return if plain { Ok(Framing::ChunkSize) } else { Err(DecodeError::UnknownCoding) };
     }
     let Some(length) = length else {
         let answer = matches!(start, Start::Answer { .. });
         return Ok(if answer { Framing::UntilClose } else { Framing::Length(0) });
     };
     if length.is_empty() || !length.iter().all(u8::is_ascii_digit) {
-        return Err(Fault::Malformed);
+        return Err(DecodeError::Malformed);
     }
     // Digits that do not fit are a length beyond any limit.
     let length = std::str::from_utf8(length).ok().and_then(|l| l.parse().ok()).unwrap_or(usize::MAX);
-    if length > most_body { Err(Fault::BodyTooBig) } else { Ok(Framing::Length(length)) }
+    if length > most_body { Err(DecodeError::BodyTooBig) } else { Ok(Framing::Length(length)) }
 }
 
 /// Appends an answer without a body.
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -68,7 +68,7 @@
 
 /// Why a call for the list brought none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoList {
+pub enum ListError {
     /// The platform has too much to do: nothing is wrong with what is known.
     Refused,
     /// What came cannot be read, or does not follow on what is known.
@@ -115,19 +115,19 @@
     }
 
     /// What an answer tells, and whether the connection serves further calls.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(News, bool)>, NoList> {
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(News, bool)>, ListError> {
         self.decoder.feed(bytes);
-        let message = self.decoder.message().map_err(|_| NoList::Garbage)?;
+        let message = self.decoder.message().map_err(|_| ListError::Garbage)?;
         let Some(answer) = message else { return Ok(None) };
         match answer.head.0 {
             200 => {}
-            429 | 503 => return Err(NoList::Refused),
-            _ => return Err(NoList::Garbage),
+            429 | 503 => return Err(ListError::Refused),
+            _ => return Err(ListError::Garbage),
         }
-        let news: News = serde_json::from_slice(&answer.body).map_err(|_| NoList::Garbage)?;
+        let news: News = serde_json::from_slice(&answer.body).map_err(|_| ListError::Garbage)?;
         // Against a platform that counts anew, as after a loss of its own: changes would pass by unseen.
         if !news.whole && self.seq.is_some_and(|known| news.seq < known) {
-            return Err(NoList::Garbage);
+            return Err(ListError::Garbage);
         }
         (self.seq, self.failed) = (Some(news.seq), 0);
         Ok(Some((news, answer.keep && self.decoder.is_clear())))
--- a/crates/sender/src/list/tests.rs
+++ b/crates/sender/src/list/tests.rs
@@ -34,18 +34,18 @@
         (
             "after a refusal, from the version known, and not at once",
             vec![answer(503, "")],
-            Some(Err(NoList::Refused)),
+            Some(Err(ListError::Refused)),
             Some(7),
         ),
         (
             "the same for the other refusal",
             vec![news(8, true), answer(429, "later")],
-            Some(Err(NoList::Refused)),
+            Some(Err(ListError::Refused)),
             Some(8),
         ),
-        ("after garbage, the whole list", vec![answer(200, "{")], Some(Err(NoList::Garbage)), None),
-        ("the same after an error", vec![answer(500, "")], Some(Err(NoList::Garbage)), None),
-        ("and where versions are counted anew", vec![news(3, false)], Some(Err(NoList::Garbage)), None),
+        ("after garbage, the whole list", vec![answer(200, "{")], Some(Err(ListError::Garbage)), None),
+        ("the same after an error", vec![answer(500, "")], Some(Err(ListError::Garbage)), None),
+        ("and where versions are counted anew", vec![news(3, false)], Some(Err(ListError::Garbage)), None),
         ("but a whole list may be of any version", vec![news(3, true)], Some(Ok(3)), Some(3)),
     ];
     for (name, answers, last, since) in cases {
@@ -56,9 +56,9 @@
         }
         assert_eq!(heard, last, "{name}");
         match last {
-            Some(Err(NoList::Refused)) => list.refused(),
+            Some(Err(ListError::Refused)) => list.refused(),
             // The first time it goes on over a new connection, the second time nothing is taken for known.
-            Some(Err(NoList::Garbage)) => {
+            Some(Err(ListError::Garbage)) => {
                 assert_eq!((list.broken(), list.broken()), (true, false), "{name}")
             }
             _ => {}
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -1,6 +1,6 @@
 //! Notices to the platform: final answers of webhooks that were taken on and not delivered.
 
-use crate::http::{Decoder, Fault, Status};
+use crate::http::{DecodeError, Decoder, Status};
 use crate::journal::End;
 use serde::Serialize;
 use std::collections::VecDeque;
@@ -90,12 +90,12 @@
     }
 
     /// The webhooks whose notice was acknowledged, and whether the connection serves further calls.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(Vec<u64>, bool)>, Fault> {
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(Vec<u64>, bool)>, DecodeError> {
         self.decoder.feed(bytes);
         let Some(answer) = self.decoder.message()? else { return Ok(None) };
         self.singly = answer.head.0 != 204;
         if self.singly {
-            return Err(Fault::Malformed);
+            return Err(DecodeError::Malformed);
         }
         Ok(Some((std::mem::take(&mut self.out), answer.keep && self.decoder.is_clear())))
     }
