--- a/crates/sender/tests/program/descriptors.rs
+++ b/crates/sender/tests/program/descriptors.rs
@@ -1,7 +1,8 @@
 //! Descriptors are short: what the program needs for itself is kept apart from what clients and endpoints may take.
 
 use crate::helpers::{
-    Deed, Endpoint, LONG, OK, Platform, Program, address, hand_in_for, hear, host_of, list, say,
+    Deed, Endpoint, LONG, OK, Platform, Program, address, ends, hand_in, hand_in_for, hear, host, host_of,
+    list, say,
 };
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -170,3 +171,52 @@
     program.logged("outcome=Delivered", 2);
     assert!(!program.log().contains("outcome=ConnectFailed"));
 }
+
+#[test]
+fn fewer_descriptors_than_were_told_are_shared_out_as_well() {
+    let endpoint = Endpoint::start(|_, _| Deed::Say(OK));
+    let known = list(1, true, &[host("a", endpoint.at, "plain", "SERVING")]);
+    let platform = Platform::start(known.clone(), 0);
+    let mut program = Program::start(&platform, &known, &[]);
+    std::fs::write(program.folder.join("descriptors"), "40").unwrap();
+    program.restart();
+    let mut idle = Vec::new();
+    for n in 0..60 {
+        let mut client = program.connect();
+        client.write_all(&hand_in("idem", &format!("w{n}"), 8000, b"")).unwrap();
+        assert_eq!(hear(&mut client).unwrap().status(), 202, "{n}");
+        assert_eq!(endpoint.call().id(), format!("w{n}"));
+        idle.push(client);
+    }
+    let log = std::fs::read_to_string(program.folder.join("log")).unwrap();
+    assert!(!log.contains("code=\"accept\"") && !log.contains("code=\"connect\""), "{log}");
+}
+
+#[test]
+fn idle_clients_that_fill_the_descriptors_leave_the_others_theirs() {
+    let few = ("\"sockets\":256", "\"sockets\":64");
+    let (endpoint, silent) = (Endpoint::start(|_, _| Deed::Say(OK)), Endpoint::start(|_, _| Deed::Silence));
+    let known = list(1, true, &[host("a", endpoint.at, "plain", "SERVING")]);
+    let platform = Platform::start(list(2, true, &[host("a", endpoint.at, "plain", "SERVING")]), 0);
+    let (talks, says_nothing) = (platform.at.to_string(), silent.at.to_string());
+    let program = Program::start(&platform, &known, &[few, (&talks, &says_nothing)]);
+    // They have each been served, and rest until they are asked to go.
+    let mut idle = Vec::new();
+    for n in 0..150 {
+        let mut client = program.connect();
+        client.write_all(&hand_in("idem", &format!("w{n}"), 8000, &[b'x'; 9000])).unwrap();
+        assert_eq!(hear(&mut client).unwrap().status(), 202, "{n}");
+        assert!(program.descriptors() <= 64, "{}", program.descriptors());
+        idle.push(client);
+    }
+    for _ in 0..150 {
+        endpoint.call();
+    }
+    // The list, the journal's new file and the configuration had theirs.
+    assert!(silent.calls.try_iter().any(|c| c.head.starts_with("GET /v1/endpoints")));
+    let log = std::fs::read_to_string(program.folder.join("log")).unwrap();
+    assert!(!log.contains("journal-write") && !log.contains("code=\"accept\""), "{log}");
+    program.reconfigure(&says_nothing, &talks);
+    program.logged("code=\"listed\" seq=2", 1);
+    assert!(idle.into_iter().rev().take(3).all(ends));
+}
--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -479,6 +479,11 @@
     }
 }
 
+/// The connection ends as it should: nothing more comes, and no reset.
+pub fn ends(mut stream: TcpStream) -> bool {
+    matches!(stream.read(&mut [0; 64]), Ok(0))
+}
+
 /// A reset: what the other side sent last may be lost with it.
 pub fn reset(stream: TcpStream) {
     SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
