--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -12,11 +12,15 @@
 /// A webhook as it is handed in, less its body.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HandIn {
+    /// The id that the client gave it.
     pub id: String,
+    /// The name of its event type.
     pub event_type: String,
+    /// The number of its destination.
     pub dest: u64,
     /// Webhooks with the same order key go one at a time, where the event type asks for it.
     pub order_key: Option<String>,
+    /// The customer that it counts for.
     pub customer: Option<String>,
     /// The idempotency key.
     pub token: Option<String>,
@@ -24,8 +28,9 @@
     pub left: f64,
 }
 
+/// The methods that are told apart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Method {
+enum Method {
     Get,
     Post,
     Other,
@@ -82,20 +87,26 @@
 /// What a client gets to hear.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Reply {
+    /// The sender serves.
     Ready,
+    /// The webhook is taken on.
     Taken,
     /// Handing in again does no harm, after so many seconds (0: nothing said).
     Rejected(f64),
     /// No room, or no longer taking anything: harmless as well.
     NoRoom,
+    /// Another status, without more.
     Status(u16),
 }
 
 /// What is awaited on a client's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
+    /// The next request.
     Idle,
+    /// The rest of a request.
     Reading,
+    /// The client's reading of an answer.
     Writing,
     /// The sending side is shut; the client has to close.
     Lingering,
@@ -110,9 +121,11 @@
     Refuse(u16),
     /// The client waits for leave to send the body.
     Leave,
+    /// More has to be read.
     Read,
     /// Nothing more will be said: the sending side is shut, and no request is taken from then on.
     Shut,
+    /// The connection is closed.
     Close,
 }
 
@@ -121,6 +134,7 @@
 #[derive(Debug)]
 pub struct Client {
     decoder: Decoder<RequestHead>,
+    /// What is awaited now.
     pub stage: Stage,
     /// No request has come yet.
     pub fresh: bool,
@@ -161,6 +175,7 @@
         }
     }
 
+    /// Takes in what was read.
     pub fn bytes(&mut self, bytes: &[u8]) {
         if self.last { self.passed += 1 } else { self.decoder.feed(bytes) }
     }
@@ -200,6 +215,7 @@
     }
 }
 
+/// Appends an answer; `close` says that it is the last.
 pub fn encode(out: &mut Vec<u8>, reply: Reply, close: bool) {
     match reply {
         Reply::Ready => encode_answer(out, 200, &[], close),
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -8,25 +8,38 @@
 use std::path::Path;
 use tracing::warn;
 
+/// The configuration, as the platform writes it.
 #[derive(Debug, Deserialize)]
 pub struct Config {
+    /// The sender's name, for the log.
     pub name: String,
+    /// Where clients reach it.
     pub listen: SocketAddr,
+    /// Where the platform's list is asked for and notices are sent.
     pub discovery: SocketAddr,
+    /// Where chance begins.
     #[serde(deserialize_with = "hex")]
     pub seed: u64,
+    /// What it may use.
     pub limits: Limits,
+    /// The list of endpoints as it was known last.
     pub known: News,
+    /// What the decision module is told.
     pub settings: Settings,
 }
 
+/// What the process may use.
 #[derive(Debug, Deserialize)]
 pub struct Limits {
+    /// Descriptors.
     pub sockets: usize,
+    /// Megabytes that the folder may hold.
     pub disk_mb: f64,
+    /// Megabytes of memory, where there is a limit.
     pub memory_mb: Option<f64>,
 }
 
+/// What the decision module is told.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Settings {
@@ -171,6 +184,7 @@
 }
 
 impl Config {
+    /// Reads and checks a file; the error names the file or the field.
     pub fn read(path: &Path) -> Result<Config, String> {
         let bytes = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
         Self::decode(&bytes)
@@ -193,6 +207,7 @@
         Ok(new)
     }
 
+    /// Reads and checks the text of a configuration; the error names the field.
     pub fn decode(bytes: &[u8]) -> Result<Config, String> {
         let mut from = serde_json::Deserializer::from_slice(bytes);
         let config: Config = serde_path_to_error::deserialize(&mut from)
@@ -319,6 +334,7 @@
         self.settings.report.how == "answers"
     }
 
+    /// The names of the event types.
     pub fn event_types(&self) -> BTreeSet<String> {
         self.settings.classes.iter().map(|c| c.name.clone()).collect()
     }
--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -9,8 +9,11 @@
 
 /// A webhook as a call carries it.
 pub struct Load<'a> {
+    /// The webhook's id.
     pub id: &'a str,
+    /// Its idempotency key.
     pub token: Option<&'a str>,
+    /// Its body.
     pub body: &'a [u8],
 }
 
@@ -39,6 +42,7 @@
 /// The head of an answer.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Answer {
+    /// The status code.
     pub status: u16,
     /// Seconds to wait before the destination, or the route, is called again.
     pub wait: f64,
@@ -64,7 +68,9 @@
 /// How a call ended for one webhook; `over` where nothing more is owed for it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Ending {
+    /// What became of the attempt.
     pub outcome: Outcome,
+    /// Nothing more is owed: no further attempt is made.
     pub over: bool,
 }
 
@@ -118,13 +124,17 @@
 /// A call that waits for its connection, or is out on it.
 #[derive(Debug)]
 pub struct Call {
+    /// The endpoint's name in the list.
     pub ep: String,
+    /// The endpoint's zone.
     pub zone: String,
     /// The webhooks in it, by number and id.
     pub webhooks: Vec<(u64, String)>,
-    /// When it was decided, and when it is given up.
+    /// When it was decided.
     pub decided_at: f64,
+    /// When it is given up.
     pub stop_at: f64,
+    /// The request as it is written; empty once it is on its connection.
     pub bytes: Vec<u8>,
     /// The last byte is written: from then on a webhook may run.
     pub written: bool,
@@ -137,10 +147,12 @@
     pub name: String,
     /// The call that waits for the connection, or is out on it.
     pub call: Option<Call>,
+    /// Reads the answers.
     pub decoder: Decoder<Answer>,
 }
 
 impl EndpointConnection {
+    /// A connection that carries nothing yet.
     pub fn new(name: String) -> Self {
         EndpointConnection { name, call: None, decoder: Decoder::answers(MOST_ANSWER) }
     }
@@ -170,6 +182,7 @@
 pub struct Pool(BTreeMap<String, Vec<usize>>);
 
 impl Pool {
+    /// Takes in a connection that carries nothing.
     pub fn put(&mut self, endpoint: &str, connection: usize) {
         self.0.entry(endpoint.to_owned()).or_default().push(connection);
     }
@@ -179,6 +192,7 @@
         self.0.get_mut(endpoint)?.pop()
     }
 
+    /// Forgets a connection.
     pub fn remove(&mut self, endpoint: &str, connection: usize) {
         if let Some(connections) = self.0.get_mut(endpoint) {
             connections.retain(|other| *other != connection);
@@ -186,6 +200,7 @@
         self.0.retain(|_, connections| !connections.is_empty());
     }
 
+    /// Gives up all idle connections to an endpoint.
     pub fn take_all(&mut self, endpoint: &str) -> Vec<usize> {
         self.0.remove(endpoint).unwrap_or_default()
     }
--- a/crates/sender/src/http.rs
+++ b/crates/sender/src/http.rs
@@ -15,13 +15,18 @@
 /// Why a message cannot be read; its connection is of no further use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DecodeError {
+    /// It is not HTTP, or ambiguous.
     Malformed,
+    /// The body is longer than allowed.
     BodyTooBig,
+    /// The start line and header lines are longer, or more, than allowed.
     HeadTooBig,
+    /// A transfer coding other than `chunked`.
     UnknownCoding,
 }
 
 impl DecodeError {
+    /// The status that tells a client of it.
     pub fn status(self) -> u16 {
         match self {
             DecodeError::Malformed => 400,
@@ -34,7 +39,9 @@
 
 /// The first line of a message.
 pub enum Start<'a> {
+    /// Of a request: its method and its target.
     Request { method: &'a str, target: &'a str },
+    /// Of an answer: its status.
     Answer { status: u16 },
 }
 
@@ -59,6 +66,7 @@
 
 /// What a peer's module makes of a head: a small typed value, decoded once.
 pub trait Head: Sized {
+    /// Decodes the first line and the header lines.
     fn decode(start: &Start, fields: &Fields) -> Self;
 }
 
@@ -71,9 +79,12 @@
     }
 }
 
+/// A message that has come as a whole.
 #[derive(Debug)]
 pub struct Message<H> {
+    /// What its head was decoded to.
     pub head: H,
+    /// Its body, without the framing.
     pub body: Vec<u8>,
     /// The connection serves further messages.
     pub keep: bool,
@@ -105,16 +116,19 @@
 }
 
 impl<H: Head> Decoder<H> {
+    /// For requests, with bodies of at most so many bytes.
     pub fn requests(most_body: usize) -> Self {
         let (buf, body) = (Vec::new(), Vec::new());
         let framing = Framing::Head;
         Decoder { answers: false, most_body, buf, seen: 0, framing, head: None, body, waits: false }
     }
 
+    /// For answers, with bodies of at most so many bytes.
     pub fn answers(most_body: usize) -> Self {
         Decoder { answers: true, ..Self::requests(most_body) }
     }
 
+    /// Takes in bytes as they were read.
     pub fn feed(&mut self, bytes: &[u8]) {
         self.buf.extend_from_slice(bytes);
     }
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -32,26 +32,36 @@
 /// call went out: that one is given up, the pause passes, and the next one is answered as late as may be.
 pub const LONGEST_PAUSE: f64 = CLOCK - ON_THE_WAY - 2.0 * (AGAIN_MS as f64 / 1e3 + AGAIN_PATIENCE);
 
+/// Whether an endpoint takes calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Health {
+    /// It does.
     Serving,
+    /// It does not for now.
     Draining,
+    /// It has left for good.
     Deleted,
 }
 
 /// One line of the list.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Host {
+    /// The endpoint's name.
     pub host: String,
+    /// Its address.
     pub dial: SocketAddr,
+    /// Its zone.
     pub site: String,
+    /// The kind of its destination.
     #[serde(rename = "class")]
     pub kind: String,
     /// An endpoint of no destination gets no calls.
     #[serde(rename = "block")]
     pub dest: Option<u64>,
+    /// Whether it takes calls.
     pub health: Health,
+    /// Calls a second that its destination takes, where that is listed.
     #[serde(rename = "share")]
     pub rate: Option<f64>,
     /// When it last started, in Unix time.
@@ -61,8 +71,11 @@
 /// A list, or what changed in it.
 #[derive(Debug, Clone, Deserialize)]
 pub struct News {
+    /// The version.
     pub seq: u64,
+    /// All endpoints are named; else those that changed.
     pub whole: bool,
+    /// The endpoints.
     pub hosts: Vec<Host>,
 }
 
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -46,6 +46,7 @@
         Self::default()
     }
 
+    /// A webhook's final answer is due.
     pub fn push(&mut self, number: u64) {
         self.due.push_back(number);
     }
@@ -55,6 +56,7 @@
         self.out.is_empty() && !self.due.is_empty()
     }
 
+    /// Nothing is due and nothing is out.
     pub fn is_empty(&self) -> bool {
         self.out.is_empty() && self.due.is_empty()
     }
