--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -12,11 +12,15 @@
 /// A webhook as it is handed in, less its body.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HandIn {
+    /// The id that the client gave it.
     pub id: String,
+    /// The name of its event type.
     pub event_type: String,
+    /// The number of its destination.
     pub dest: u64,
     /// Webhooks with the same order key go one at a time, where the event type asks for it.
     pub order_key: Option<String>,
+    /// The customer that it counts for.
     pub customer: Option<String>,
     /// The idempotency key.
     pub token: Option<String>,
@@ -24,8 +28,9 @@
     pub left: f64,
 }
 
+/// The methods that are told apart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Method {
+enum Method {
     Get,
     Post,
     Other,
@@ -33,16 +38,16 @@
 
 /// A request, less its body. `hand_in` is there when all its lines are.
 #[derive(Debug)]
-pub struct Asked {
+pub struct RequestHead {
     method: Method,
     path: String,
     hand_in: Option<HandIn>,
 }
 
-impl Head for Asked {
+impl Head for RequestHead {
     fn decode(start: &Start, fields: &Fields) -> Self {
         let Start::Request { method, target } = *start else {
-            return Asked { method: Method::Other, path: String::new(), hand_in: None };
+            return RequestHead { method: Method::Other, path: String::new(), hand_in: None };
         };
         let method = match method {
             "GET" => Method::Get,
@@ -53,7 +58,7 @@
         // The event type is the first part of the path.
         let path = path.split('/').next().unwrap_or("").to_owned();
         let hand_in = decode_hand_in(&path, fields);
-        Asked { method, path, hand_in }
+        RequestHead { method, path, hand_in }
     }
 }
 
@@ -82,20 +87,26 @@
 /// What a client gets to hear.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Reply {
+    /// The sender serves.
     Ready,
+    /// The webhook is taken on.
     Taken,
     /// Handing in again does no harm, after so many seconds (0: nothing said).
     Rejected(f64),
     /// No room, or no longer taking anything: harmless as well.
     NoRoom,
+    /// Another status, without more.
     Status(u16),
 }
 
 /// What is awaited on a client's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
+    /// The next request.
     Idle,
+    /// The rest of a request.
     Reading,
+    /// The client's reading of an answer.
     Writing,
     /// The sending side is shut; the client has to close.
     Lingering,
@@ -105,14 +116,16 @@
 #[derive(Debug)]
 pub enum Step {
     /// A request has come as a whole.
-    Serve(Message<Asked>),
+    Serve(Message<RequestHead>),
     /// What came is no request; the last answer says why.
     Refuse(u16),
     /// The client waits for leave to send the body.
     Leave,
+    /// More has to be read.
     Read,
     /// Nothing more will be said: the sending side is shut, and no request is taken from then on.
     Shut,
+    /// The connection is closed.
     Close,
 }
 
@@ -120,7 +133,8 @@
 /// connection, and a reset may overtake the last answer.
 #[derive(Debug)]
 pub struct Client {
-    decoder: Decoder<Asked>,
+    decoder: Decoder<RequestHead>,
+    /// What is awaited now.
     pub stage: Stage,
     /// No request has come yet.
     pub fresh: bool,
@@ -129,13 +143,13 @@
     /// Reads that were passed over since.
     passed: usize,
     /// The webhook whose 202 is not yet written as a whole.
-    pub unheard: Option<u64>,
+    pub unacknowledged: Option<u64>,
 }
 
 impl Default for Client {
     fn default() -> Self {
         let decoder = Decoder::requests(MOST_BODY);
-        Client { decoder, stage: Stage::Idle, fresh: true, last: false, passed: 0, unheard: None }
+        Client { decoder, stage: Stage::Idle, fresh: true, last: false, passed: 0, unacknowledged: None }
     }
 }
 
@@ -161,6 +175,7 @@
         }
     }
 
+    /// Takes in what was read.
     pub fn bytes(&mut self, bytes: &[u8]) {
         if self.last { self.passed += 1 } else { self.decoder.feed(bytes) }
     }
@@ -190,7 +205,7 @@
 }
 
 /// Where a request leads: to a webhook, or straight to an answer.
-pub fn route(asked: Asked, event_types: &BTreeSet<String>) -> Result<HandIn, Reply> {
+pub fn route(asked: RequestHead, event_types: &BTreeSet<String>) -> Result<HandIn, Reply> {
     match (asked.method, asked.path.as_str()) {
         (Method::Get, "ready") => Err(Reply::Ready),
         (_, "ready") => Err(Reply::Status(405)),
@@ -200,6 +215,7 @@
     }
 }
 
+/// Appends an answer; `close` says that it is the last.
 pub fn encode(out: &mut Vec<u8>, reply: Reply, close: bool) {
     match reply {
         Reply::Ready => encode_answer(out, 200, &[], close),
--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -9,8 +9,11 @@
 
 /// A webhook as a call carries it.
 pub struct Load<'a> {
+    /// The webhook's id.
     pub id: &'a str,
+    /// Its idempotency key.
     pub token: Option<&'a str>,
+    /// Its body.
     pub body: &'a [u8],
 }
 
@@ -39,6 +42,7 @@
 /// The head of an answer.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Answer {
+    /// The status code.
     pub status: u16,
     /// Seconds to wait before the destination, or the route, is called again.
     pub wait: f64,
@@ -64,7 +68,9 @@
 /// How a call ended for one webhook; `over` where nothing more is owed for it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Ending {
+    /// What became of the attempt.
     pub outcome: Outcome,
+    /// Nothing more is owed: no further attempt is made.
     pub over: bool,
 }
 
@@ -98,7 +104,7 @@
         return Some(vec![answer.head.ending(ids.len() == 1); ids.len()]);
     }
     let text = std::str::from_utf8(&answer.body).ok()?;
-    let mut told = BTreeMap::new();
+    let mut results = BTreeMap::new();
     for line in text.lines().filter(|l| !l.is_empty()) {
         let (id, word) = line.split_once(' ')?;
         let ending = match word.trim() {
@@ -109,22 +115,26 @@
             "exhausted" => Outcome::Moot(false).into(),
             _ => return None,
         };
-        told.insert(id, ending);
+        results.insert(id, ending);
     }
     // One that the answer leaves out may have run.
-    Some(ids.iter().map(|id| told.get(id).copied().unwrap_or(Outcome::Failed.into())).collect())
+    Some(ids.iter().map(|id| results.get(id).copied().unwrap_or(Outcome::Failed.into())).collect())
 }
 
 /// A call that waits for its connection, or is out on it.
 #[derive(Debug)]
 pub struct Call {
+    /// The endpoint's name in the list.
     pub ep: String,
+    /// The endpoint's zone.
     pub zone: String,
     /// The webhooks in it, by number and id.
     pub webhooks: Vec<(u64, String)>,
-    /// When it was decided, and when it is given up.
+    /// When it was decided.
     pub decided_at: f64,
+    /// When it is given up.
     pub stop_at: f64,
+    /// The request as it is written; empty once it is on its connection.
     pub bytes: Vec<u8>,
     /// The last byte is written: from then on a webhook may run.
     pub written: bool,
@@ -132,19 +142,23 @@
 
 /// One connection to an endpoint. It carries one call at a time.
 #[derive(Debug)]
-pub struct Line {
-    pub ep: String,
+pub struct EndpointConnection {
+    /// The endpoint's name in the list.
+    pub name: String,
+    /// The call that waits for the connection, or is out on it.
     pub call: Option<Call>,
+    /// Reads the answers.
     pub decoder: Decoder<Answer>,
 }
 
-impl Line {
-    pub fn new(ep: String) -> Self {
-        Line { ep, call: None, decoder: Decoder::answers(MOST_ANSWER) }
+impl EndpointConnection {
+    /// A connection that carries nothing yet.
+    pub fn new(name: String) -> Self {
+        EndpointConnection { name, call: None, decoder: Decoder::answers(MOST_ANSWER) }
     }
 
-    /// How the call ended when the connection broke, or the sender stopped waiting (`else_as`).
-    pub fn cut_short(&mut self, call: &Call, else_as: Outcome) -> (Vec<Ending>, Answer) {
+    /// How the call ended when the connection broke, or the sender stopped waiting (`otherwise`).
+    pub fn cut_short(&mut self, call: &Call, otherwise: Outcome) -> (Vec<Ending>, Answer) {
         let count = call.webhooks.len();
         if let Some(answer) = self.decoder.ended() {
             let ids: Vec<&str> = call.webhooks.iter().map(|w| w.1.as_str()).collect();
@@ -156,7 +170,7 @@
         let status = self.decoder.head().map(|h| h.status).or_else(|| self.decoder.first_line());
         let outcome = match status {
             Some(200) if count == 1 => Outcome::Delivered,
-            _ if call.written => else_as,
+            _ if call.written => otherwise,
             _ => Outcome::ConnectFailed,
         };
         (vec![outcome.into(); count], Answer::default())
@@ -168,24 +182,27 @@
 pub struct Pool(BTreeMap<String, Vec<usize>>);
 
 impl Pool {
-    pub fn put(&mut self, ep: &str, line: usize) {
-        self.0.entry(ep.to_owned()).or_default().push(line);
+    /// Takes in a connection that carries nothing.
+    pub fn put(&mut self, endpoint: &str, connection: usize) {
+        self.0.entry(endpoint.to_owned()).or_default().push(connection);
     }
 
     /// The connection that was used last: it is the least likely to be closing.
-    pub fn take(&mut self, ep: &str) -> Option<usize> {
-        self.0.get_mut(ep)?.pop()
+    pub fn take(&mut self, endpoint: &str) -> Option<usize> {
+        self.0.get_mut(endpoint)?.pop()
     }
 
-    pub fn remove(&mut self, ep: &str, line: usize) {
-        if let Some(lines) = self.0.get_mut(ep) {
-            lines.retain(|l| *l != line);
+    /// Forgets a connection.
+    pub fn remove(&mut self, endpoint: &str, connection: usize) {
+        if let Some(connections) = self.0.get_mut(endpoint) {
+            connections.retain(|other| *other != connection);
         }
-        self.0.retain(|_, lines| !lines.is_empty());
+        self.0.retain(|_, connections| !connections.is_empty());
     }
 
-    pub fn take_all(&mut self, ep: &str) -> Vec<usize> {
-        self.0.remove(ep).unwrap_or_default()
+    /// Gives up all idle connections to an endpoint.
+    pub fn take_all(&mut self, endpoint: &str) -> Vec<usize> {
+        self.0.remove(endpoint).unwrap_or_default()
     }
 
     /// One to close where descriptors are short: the one opened first.
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -32,26 +32,36 @@
 /// call went out: that one is given up, the pause passes, and the next one is answered as late as may be.
 pub const LONGEST_PAUSE: f64 = CLOCK - ON_THE_WAY - 2.0 * (AGAIN_MS as f64 / 1e3 + AGAIN_PATIENCE);
 
+/// Whether an endpoint takes calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Health {
+    /// It does.
     Serving,
+    /// It does not for now.
     Draining,
+    /// It has left for good.
     Deleted,
 }
 
 /// One line of the list.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Host {
+    /// The endpoint's name.
     pub host: String,
+    /// Its address.
     pub dial: SocketAddr,
+    /// Its zone.
     pub site: String,
+    /// The kind of its destination.
     #[serde(rename = "class")]
     pub kind: String,
     /// An endpoint of no destination gets no calls.
     #[serde(rename = "block")]
     pub dest: Option<u64>,
+    /// Whether it takes calls.
     pub health: Health,
+    /// Calls a second that its destination takes, where that is listed.
     #[serde(rename = "share")]
     pub rate: Option<f64>,
     /// When it last started, in Unix time.
@@ -61,14 +71,17 @@
 /// A list, or what changed in it.
 #[derive(Debug, Clone, Deserialize)]
 pub struct News {
+    /// The version.
     pub seq: u64,
+    /// All endpoints are named; else those that changed.
     pub whole: bool,
+    /// The endpoints.
     pub hosts: Vec<Host>,
 }
 
 /// Why a call for the list brought none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoList {
+pub enum ListError {
     /// The platform has too much to do: nothing is wrong with what is known.
     Refused,
     /// What came cannot be read, or does not follow on what is known.
@@ -115,19 +128,19 @@
     }
 
     /// What an answer tells, and whether the connection serves further calls.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(News, bool)>, NoList> {
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(News, bool)>, ListError> {
         self.decoder.feed(bytes);
-        let message = self.decoder.message().map_err(|_| NoList::Garbage)?;
+        let message = self.decoder.message().map_err(|_| ListError::Garbage)?;
         let Some(answer) = message else { return Ok(None) };
         match answer.head.0 {
             200 => {}
-            429 | 503 => return Err(NoList::Refused),
-            _ => return Err(NoList::Garbage),
+            429 | 503 => return Err(ListError::Refused),
+            _ => return Err(ListError::Garbage),
         }
-        let news: News = serde_json::from_slice(&answer.body).map_err(|_| NoList::Garbage)?;
+        let news: News = serde_json::from_slice(&answer.body).map_err(|_| ListError::Garbage)?;
         // Against a platform that counts anew, as after a loss of its own: changes would pass by unseen.
         if !news.whole && self.seq.is_some_and(|known| news.seq < known) {
-            return Err(NoList::Garbage);
+            return Err(ListError::Garbage);
         }
         (self.seq, self.failed) = (Some(news.seq), 0);
         Ok(Some((news, answer.keep && self.decoder.is_clear())))
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -1,6 +1,6 @@
 //! Notices to the platform: final answers of webhooks that were taken on and not delivered.
 
-use crate::http::{Decoder, Fault, Status};
+use crate::http::{DecodeError, Decoder, Status};
 use crate::journal::End;
 use serde::Serialize;
 use std::collections::VecDeque;
@@ -46,6 +46,7 @@
         Self::default()
     }
 
+    /// A webhook's final answer is due.
     pub fn push(&mut self, number: u64) {
         self.due.push_back(number);
     }
@@ -55,6 +56,7 @@
         self.out.is_empty() && !self.due.is_empty()
     }
 
+    /// Nothing is due and nothing is out.
     pub fn is_empty(&self) -> bool {
         self.out.is_empty() && self.due.is_empty()
     }
@@ -90,12 +92,12 @@
     }
 
     /// The webhooks whose notice was acknowledged, and whether the connection serves further calls.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(Vec<u64>, bool)>, Fault> {
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(Vec<u64>, bool)>, DecodeError> {
         self.decoder.feed(bytes);
         let Some(answer) = self.decoder.message()? else { return Ok(None) };
         self.singly = answer.head.0 != 204;
         if self.singly {
-            return Err(Fault::Malformed);
+            return Err(DecodeError::Malformed);
         }
         Ok(Some((std::mem::take(&mut self.out), answer.keep && self.decoder.is_clear())))
     }
