--- /dev/null
+++ b/crates/scale/src/fleet.rs
@@ -0,0 +1,212 @@
+//! A fleet on loopback: list service, receivers and senders of the built program, each at an address of its own.
+
+use crate::error::Error;
+use crate::guard::Guard;
+use crate::process::Sender;
+use crate::settings::SenderSettings;
+use crate::standins::judge::{Breach, Counts, Judge, Terms};
+use crate::standins::list_service::{Endpoint, ListService};
+use crate::standins::receivers::{Behaviour, Receivers, Record};
+use crate::standins::server::{Replies, Server};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+/// Senders and their addresses at the list service have ports from here on.
+const FIRST_PORT: u16 = 20_000;
+const RECEIVERS_PORT: u16 = 18_081;
+/// Between two looks at something that is waited for.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// The parties of a run, by the last part of their address.
+#[derive(Clone, Copy)]
+enum Party {
+    Receivers = 1,
+    Sender = 2,
+    Discovery = 3,
+}
+
+/// Addresses on loopback that no other run uses at the same time.
+#[derive(Debug, Clone, Copy)]
+struct Addresses {
+    process: u8,
+    fleet: u8,
+}
+
+impl Addresses {
+    fn new() -> Self {
+        static FLEETS: AtomicU16 = AtomicU16::new(0);
+        let (process, fleet) = (std::process::id(), FLEETS.fetch_add(1, Ordering::Relaxed));
+        let fleet = (process / 50 + u32::from(fleet)) % 250;
+        Addresses { process: 200 + (process % 50) as u8, fleet: fleet as u8 }
+    }
+
+    fn of(self, party: Party, port: u16) -> SocketAddr {
+        SocketAddr::from(([127, self.process, self.fleet, party as u8], port))
+    }
+}
+
+/// What a fleet is made of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The built program.
+    pub program: PathBuf,
+    /// Processes of it.
+    pub senders: usize,
+    /// Senders that the settings tell of; at least as many as there are processes.
+    pub instances: usize,
+    pub destinations: u32,
+    /// Calls a second that the list tells for each destination.
+    pub rate: f64,
+    /// Whether the list's rates count.
+    pub rates_listed: bool,
+    pub asks: bool,
+    pub behaviour: Behaviour,
+    /// Webhooks that one sender may hold.
+    pub holds: usize,
+    pub slots: usize,
+    /// What the folder of one sender may hold.
+    pub disk_mb: f64,
+    pub ttl: Duration,
+}
+
+impl Plan {
+    /// One sender, whose destinations take whatever comes.
+    pub fn one(program: PathBuf, destinations: u32, holds: usize) -> Plan {
+        Plan {
+            program,
+            senders: 1,
+            instances: 1,
+            destinations,
+            rate: 2000.0,
+            rates_listed: true,
+            asks: false,
+            behaviour: Behaviour::Refuse,
+            holds,
+            slots: 64,
+            disk_mb: 50.0 + holds as f64 * 2e-3,
+            ttl: Duration::from_secs(3600),
+        }
+    }
+}
+
+/// A running fleet. Its processes end when it is dropped.
+pub struct Fleet {
+    pub record: Record,
+    pub list: Server<ListService>,
+    pub receivers: Server<Receivers>,
+    pub senders: Vec<Sender>,
+    pub guard: Arc<Guard>,
+    /// Addresses of the list service for instances that are no processes of the program.
+    pub spare: Vec<(u16, SocketAddr)>,
+    pub endpoints: Vec<Endpoint>,
+    pub terms: Terms,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and prepares the senders, which are not started yet.
+    pub fn prepare(plan: &Plan, guard: &Arc<Guard>) -> Result<Fleet, Error> {
+        let (addresses, terms) = (Addresses::new(), Terms::default());
+        let record = Record::new(Judge::new(terms.clone()));
+        let dial = addresses.of(Party::Receivers, RECEIVERS_PORT);
+        let receivers = Server::start(&[dial], Receivers::new(record.clone(), plan.behaviour))?;
+        let endpoints: Vec<Endpoint> =
+            (0..plan.destinations).map(|dest| Endpoint::of(dest, dial, plan.rate)).collect();
+        let places = u16::try_from(plan.instances)
+            .map_err(|_| Error::Input(format!("{} senders are too many", plan.instances)))?;
+        let discovery = |me: u16| addresses.of(Party::Discovery, FIRST_PORT + me);
+        let known: HashMap<SocketAddr, u16> = (0..places).map(|me| (discovery(me), me)).collect();
+        let listen: Vec<SocketAddr> = (0..places).map(discovery).collect();
+        let list = Server::start(&listen, ListService::new(record.clone(), known, endpoints.clone()))?;
+        let mut senders = Vec::new();
+        for me in 0..plan.senders as u16 {
+            let at = addresses.of(Party::Sender, FIRST_PORT + me);
+            let settings = SenderSettings {
+                me,
+                instances: plan.instances,
+                listen: at,
+                discovery: discovery(me),
+                holds: plan.holds,
+                slots: plan.slots,
+                sockets: 256,
+                disk_mb: plan.disk_mb,
+                ttl: plan.ttl.as_secs_f64(),
+                attempts: 1000,
+                rates_listed: plan.rates_listed,
+                asks: plan.asks,
+            };
+            let name = format!("{}-{me}", addresses.fleet);
+            let config = settings.encode(&terms, &endpoints);
+            senders.push(Sender::prepare(&plan.program, &name, at, &config, guard)?);
+        }
+        let spare = (plan.senders as u16..places).map(|me| (me, discovery(me))).collect();
+        Ok(Fleet { record, list, receivers, senders, guard: guard.clone(), spare, endpoints, terms })
+    }
+
+    /// The same, with all senders started and ready, side by side. Returns how long each took.
+    pub fn start(plan: &Plan, guard: &Arc<Guard>) -> Result<(Fleet, Vec<Duration>), Error> {
+        let mut fleet = Fleet::prepare(plan, guard)?;
+        let mut began = Vec::new();
+        for sender in &mut fleet.senders {
+            began.push(Instant::now());
+            sender.launch()?;
+        }
+        let mut took = Vec::new();
+        for (sender, began) in fleet.senders.iter_mut().zip(began) {
+            took.push(sender.wait_ready(began)?);
+        }
+        Ok((fleet, took))
+    }
+
+    /// Asks or tells the receivers something.
+    pub fn receivers<T: Send + 'static>(
+        &self, task: impl FnOnce(&mut Receivers, &mut Replies) -> T + Send + 'static,
+    ) -> Result<T, Error> {
+        self.receivers.with(task).ok_or_else(|| Error::Failed("the receivers have ended".into()))
+    }
+
+    /// Asks or tells the list service something.
+    pub fn list<T: Send + 'static>(
+        &self, task: impl FnOnce(&mut ListService, &mut Replies) -> T + Send + 'static,
+    ) -> Result<T, Error> {
+        self.list.with(task).ok_or_else(|| Error::Failed("the list service has ended".into()))
+    }
+
+    /// Waits until something holds; true where it did within the time.
+    pub fn wait(
+        &self, within: Duration, holds: impl Fn(&Fleet) -> Result<bool, Error>,
+    ) -> Result<bool, Error> {
+        let began = Instant::now();
+        while began.elapsed() < within {
+            self.guard.check()?;
+            if holds(self)? {
+                return Ok(true);
+            }
+            std::thread::sleep(LOOK);
+        }
+        Ok(false)
+    }
+
+    /// Webhooks that were taken on and are not over.
+    pub fn open(&self) -> u64 {
+        self.record.tell(|judge, _| judge.open())
+    }
+
+    /// What the judge says at the end.
+    pub fn verdict(&self) -> (Counts, Vec<Breach>) {
+        self.record.tell(|judge, now| judge.finish(now))
+    }
+}
+
+/// The verdict as an error, where a rule is broken.
+pub fn judged((counts, breaches): &(Counts, Vec<Breach>)) -> Result<(), Error> {
+    if counts.breaches == 0 {
+        return Ok(());
+    }
+    let told: Vec<String> =
+        breaches.iter().take(10).map(|b| format!("{:.3} s {:?}: {}", b.at, b.rule, b.text)).collect();
+    Err(Error::Broken(format!("rules broken {} times:\n{}", counts.breaches, told.join("\n"))))
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,4 +3,11 @@
 
 pub mod capacity;
 pub mod error;
+pub mod fleet;
+pub mod guard;
+pub mod interrupt;
+pub mod process;
+pub mod settings;
 pub mod slopes;
+pub mod standins;
+pub mod verbs;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,27 +1,37 @@
 //! The command line of `scalebarrow-scale`.
 
 use bpaf::Bpaf;
-use scalebarrow_scale::capacity;
+use scalebarrow_scale::error::Error;
+use scalebarrow_scale::verbs::slope;
+use scalebarrow_scale::{capacity, interrupt};
 use std::process::ExitCode;
 
-/// Measures what the built sender costs at scale, against stand-ins on loopback.
+/// Measures what the built sender costs at scale, against stand-ins for list service, receivers and clients that run
+/// in this process, on loopback. No run uses more than 12 GiB or 200 processes. Ctrl-C ends a run and keeps what was
+/// measured.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 enum Verb {
+    /// Measure resources at several counts, fit a line through each, write docs/capacity/slopes.json
+    #[bpaf(command)]
+    Slope(#[bpaf(external(slope::options))] slope::Options),
     /// Make the table of docs/CAPACITY.md from docs/capacity/slopes.json
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::options))] capacity::Options),
 }
 
+fn run(verb: &Verb) -> Result<(), Error> {
+    let stop = interrupt::on_signals().map_err(|e| Error::Failed(e.to_string()))?;
+    match verb {
+        Verb::Slope(options) => slope::run(options, &stop),
+        Verb::Capacity(options) => capacity::run(options),
+    }
+}
+
 fn main() -> ExitCode {
-    tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .with_target(false)
-        .with_env_filter(
-            tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into()),
-        )
-        .init();
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into());
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    log.with_env_filter(filter).init();
     let verb = match verb().run_inner(bpaf::Args::current_args()) {
         Ok(verb) => verb,
         Err(failure) => {
@@ -29,10 +39,7 @@
             return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
         }
     };
-    let done = match verb {
-        Verb::Capacity(options) => capacity::run(&options),
-    };
-    match done {
+    match run(&verb) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("scalebarrow-scale: {error}");
--- /dev/null
+++ b/crates/scale/src/standins/clients.rs
@@ -0,0 +1,151 @@
+//! Clients that hand webhooks in, over connections that they keep, and how long each answer took.
+
+use super::id::{EventType, WebhookId};
+use super::message::take_status;
+use super::receivers::Record;
+use hdrhistogram::Histogram;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A client waits so long for an answer. Longer than the platform's 400 ms, so that worse ones are measured as well.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// What a client heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    Taken,
+    Refused,
+    Nothing,
+}
+
+/// Answers of a sender, in numbers and microseconds.
+#[derive(Debug, Clone)]
+pub struct Answers {
+    pub taken: u64,
+    pub refused: u64,
+    pub nothing: u64,
+    pub micros: Histogram<u64>,
+}
+
+impl Default for Answers {
+    fn default() -> Self {
+        // Three digits, growing as needed: such a histogram can always be made.
+        let micros = Histogram::new(3).unwrap_or_else(|_| unreachable!("three digits are allowed"));
+        Answers { taken: 0, refused: 0, nothing: 0, micros }
+    }
+}
+
+impl Answers {
+    /// Takes in what another client heard.
+    pub fn add(&mut self, other: &Answers) {
+        self.taken += other.taken;
+        self.refused += other.refused;
+        self.nothing += other.nothing;
+        // Histograms of one precision that grow can always be added.
+        let _ = self.micros.add(&other.micros);
+    }
+
+    /// Milliseconds that a part of the answers did not exceed.
+    pub fn millis(&self, part: f64) -> f64 {
+        self.micros.value_at_quantile(part) as f64 / 1e3
+    }
+}
+
+/// A client with one connection to one sender.
+pub struct Client {
+    to: SocketAddr,
+    stream: Option<TcpStream>,
+    record: Record,
+    body: Vec<u8>,
+    pub answers: Answers,
+}
+
+impl Client {
+    pub fn new(to: SocketAddr, record: Record, body: usize) -> Self {
+        Client { to, stream: None, record, body: vec![b'x'; body], answers: Answers::default() }
+    }
+
+    /// Hands a webhook in and waits for the answer.
+    pub fn hand_in(&mut self, id: WebhookId, ttl: Duration) -> Heard {
+        self.record.tell(|judge, now| judge.handed_in(id, now, ttl.as_secs_f64()));
+        let began = Instant::now();
+        // A sender may close a connection between requests: then it is handed in once more over a new one.
+        let kept = self.stream.is_some();
+        let mut status = self.exchange(id, ttl);
+        if kept && matches!(&status, Err(e) if e.kind() == ErrorKind::UnexpectedEof) {
+            status = self.exchange(id, ttl);
+        }
+        let heard = match status {
+            Ok(200 | 202) => Heard::Taken,
+            Ok(429 | 503) => Heard::Refused,
+            _ => Heard::Nothing,
+        };
+        match heard {
+            Heard::Taken => {
+                self.answers.taken += 1;
+                self.record.tell(|judge, _| judge.taken(id));
+            }
+            Heard::Refused => {
+                self.answers.refused += 1;
+                self.record.tell(|judge, now| judge.refused(id, now));
+            }
+            Heard::Nothing => self.answers.nothing += 1,
+        }
+        if heard != Heard::Nothing {
+            // A histogram that grows takes any value.
+            let _ = self.answers.micros.record(began.elapsed().as_micros() as u64);
+        }
+        heard
+    }
+
+    fn exchange(&mut self, id: WebhookId, ttl: Duration) -> io::Result<u16> {
+        let result = self.try_exchange(id, ttl);
+        if result.is_err() {
+            self.stream = None;
+        }
+        result
+    }
+
+    fn try_exchange(&mut self, id: WebhookId, ttl: Duration) -> io::Result<u16> {
+        let stream = match &mut self.stream {
+            Some(stream) => stream,
+            none => {
+                let stream = TcpStream::connect(self.to)?;
+                stream.set_nodelay(true)?;
+                stream.set_read_timeout(Some(PATIENCE))?;
+                none.insert(stream)
+            }
+        };
+        stream.write_all(&request(id, ttl, &self.body))?;
+        let (mut buffer, mut scratch) = (Vec::new(), [0; 1024]);
+        loop {
+            let count = stream.read(&mut scratch)?;
+            if count == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+            buffer.extend_from_slice(&scratch[..count]);
+            match take_status(&mut buffer) {
+                Ok(Some(status)) => return Ok(status),
+                Ok(None) => {}
+                Err(_) => return Err(ErrorKind::InvalidData.into()),
+            }
+        }
+    }
+}
+
+/// The bytes of a webhook handed in.
+fn request(id: WebhookId, ttl: Duration, body: &[u8]) -> Vec<u8> {
+    let (event_type, dest, size) = (id.event_type.name(), id.dest, body.len());
+    let key = match id.event_type {
+        EventType::Ordered => format!("Req-Key: k{dest}\r\n"),
+        EventType::Tokened => format!("Idempotency-Key: token-{id}\r\n"),
+        _ => String::new(),
+    };
+    let head = format!(
+        "POST /{event_type} HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Deadline: {}m\r\n{key}\
+         X-Addressing: dest={dest}\r\nContent-Length: {size}\r\n\r\n",
+        ttl.as_millis()
+    );
+    [head.as_bytes(), body].concat()
+}
--- /dev/null
+++ b/crates/scale/src/standins/id.rs
@@ -0,0 +1,66 @@
+//! Ids of the stand-ins' webhooks: they tell who took the webhook, where it goes and what it may be repeated for, so
+//! that a receiver knows all that from the id alone.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// The event types of all runs, one for each effect, and one whose webhooks keep their order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum EventType {
+    Idempotent,
+    Tokened,
+    AtMostOnce,
+    /// Idempotent, and webhooks with one key go one at a time. The key is the destination.
+    Ordered,
+}
+
+impl EventType {
+    pub const ALL: [EventType; 4] =
+        [EventType::Idempotent, EventType::Tokened, EventType::AtMostOnce, EventType::Ordered];
+
+    /// The name in settings and paths.
+    pub fn name(self) -> &'static str {
+        match self {
+            EventType::Idempotent => "idem",
+            EventType::Tokened => "token",
+            EventType::AtMostOnce => "once",
+            EventType::Ordered => "order",
+        }
+    }
+}
+
+/// One webhook handed in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct WebhookId {
+    pub sender: u16,
+    pub dest: u32,
+    /// Counted up by its client: of one sender's webhooks for one destination the later has the higher number.
+    pub number: u32,
+    pub event_type: EventType,
+}
+
+impl fmt::Display for WebhookId {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let letter = &self.event_type.name()[..1];
+        write!(f, "{letter}-{:x}-{:x}-{:08x}", self.sender, self.dest, self.number)
+    }
+}
+
+/// A text that is no id of a webhook.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoId;
+
+impl FromStr for WebhookId {
+    type Err = NoId;
+
+    fn from_str(text: &str) -> Result<Self, NoId> {
+        let mut parts = text.split('-');
+        let mut part = || parts.next().ok_or(NoId);
+        let letter = part()?;
+        let event_type = EventType::ALL.into_iter().find(|t| &t.name()[..1] == letter).ok_or(NoId)?;
+        let mut number = || u32::from_str_radix(part()?, 16).map_err(|_| NoId);
+        let sender = u16::try_from(number()?).map_err(|_| NoId)?;
+        let id = WebhookId { sender, dest: number()?, number: number()?, event_type };
+        if parts.next().is_some() { Err(NoId) } else { Ok(id) }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/standins/judge/mod.rs
@@ -0,0 +1,376 @@
+//! The judge of the delivery rules. It sees what clients, receivers and the platform recorded, in their own times, and
+//! nothing of the senders. No I/O: each record is an input.
+
+mod order;
+mod returns;
+
+use super::id::{EventType, WebhookId};
+use order::Orders;
+pub use returns::ReturnTerms;
+use returns::Returns;
+use std::collections::HashMap;
+
+/// Breaches that are kept with their text, of each rule.
+const MOST_TOLD: usize = 20;
+/// A delivery's answer and the sender's end of waiting for it cross where the connection ends so soon after.
+const CROSSING: f64 = 0.1;
+/// A killed sender may not have read an answer that was written so long before.
+const UNREAD: f64 = 1.0;
+/// Either side of a webhook's deadline, a delivery may count or not.
+const EDGE: f64 = 0.05;
+
+/// The rules, by what they ask of a sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Rule {
+    /// Each webhook that was taken on gets one final answer in time, and nothing is sent for it afterwards.
+    Lost,
+    /// No effect happens twice, and no two attempts are out at once.
+    Twice,
+    Order,
+    Waits,
+    /// A destination that returns from an outage is not pushed over by those that saw it.
+    Returns,
+}
+
+/// A rule broken.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Breach {
+    pub rule: Rule,
+    /// Seconds since the run began.
+    pub at: f64,
+    pub text: String,
+}
+
+/// The figures that the rules name, in seconds.
+#[derive(Debug, Clone)]
+pub struct Terms {
+    /// A final answer may come so long after the deadline.
+    pub answer_grace: f64,
+    /// After a restart, overdue notices may come so long after the sender is ready.
+    pub restart_grace: f64,
+    /// A destination knows an idempotency key for so long.
+    pub repeat_window: f64,
+    /// Calls that are on their way when a wait is told get through for so long.
+    pub wait_grace: f64,
+    pub returns: ReturnTerms,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms {
+            answer_grace: 0.35,
+            restart_grace: 1.5,
+            repeat_window: 8.0,
+            wait_grace: 0.1,
+            returns: ReturnTerms::default(),
+        }
+    }
+}
+
+/// How a receiver answered a call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum CallEnd {
+    Delivered,
+    /// It may have run.
+    Failed,
+    /// It has not run; where a wait was told, so long.
+    Refused(f64),
+}
+
+/// What the client heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Heard {
+    Nothing,
+    Taken,
+    Refused,
+}
+
+struct Track {
+    deadline: f64,
+    heard: Heard,
+    /// When the call that is out came.
+    out: Option<f64>,
+    calls: u32,
+    /// When the first call that may have run came.
+    ran: Option<f64>,
+    delivered: Option<f64>,
+    /// The connection ended right after the answer that delivered it.
+    crossed: bool,
+    noticed: Option<f64>,
+}
+
+#[derive(Default)]
+struct Restarts {
+    /// Each time the sender went down, and when it was ready again.
+    spans: Vec<(f64, Option<f64>)>,
+}
+
+impl Restarts {
+    fn down_within(&self, from: f64, to: f64) -> bool {
+        self.spans.iter().any(|(down, _)| (from..=to).contains(down))
+    }
+
+    /// The time from which an answer that was due is late.
+    fn extend(&self, due: f64, grace: f64) -> f64 {
+        self.spans.iter().fold(due, |due, (down, up)| match up {
+            _ if *down > due => due,
+            None => f64::INFINITY,
+            Some(up) => due.max(up + grace),
+        })
+    }
+}
+
+/// What was seen, in numbers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    /// Turned away at the door.
+    pub refused: u64,
+    /// Clients that heard nothing.
+    pub unanswered: u64,
+    pub calls: u64,
+    pub delivered: u64,
+    /// Ended by a notice.
+    pub given_up: u64,
+    /// Taken on, not over, and still in time.
+    pub open: u64,
+    pub breaches: u64,
+}
+
+/// The judge. Times are seconds since the run began.
+pub struct Judge {
+    terms: Terms,
+    tracks: HashMap<WebhookId, Track>,
+    restarts: HashMap<u16, Restarts>,
+    waits: HashMap<(u16, u32), (f64, f64)>,
+    orders: Orders,
+    returns: Returns,
+    told: Vec<Breach>,
+    breaches: u64,
+}
+
+impl Judge {
+    pub fn new(terms: Terms) -> Self {
+        let returns = Returns::new(terms.returns);
+        Judge {
+            terms,
+            tracks: HashMap::new(),
+            restarts: HashMap::new(),
+            waits: HashMap::new(),
+            orders: Orders::default(),
+            returns,
+            told: Vec::new(),
+            breaches: 0,
+        }
+    }
+
+    fn breaks(&mut self, rule: Rule, at: f64, text: String) {
+        self.breaches += 1;
+        if self.told.iter().filter(|b| b.rule == rule).count() < MOST_TOLD {
+            self.told.push(Breach { rule, at, text });
+        }
+    }
+
+    /// A client begins to hand a webhook in, to be delivered within `ttl`.
+    pub fn handed_in(&mut self, id: WebhookId, at: f64, ttl: f64) {
+        let track = Track {
+            deadline: at + ttl,
+            heard: Heard::Nothing,
+            out: None,
+            calls: 0,
+            ran: None,
+            delivered: None,
+            crossed: false,
+            noticed: None,
+        };
+        self.tracks.insert(id, track);
+    }
+
+    /// The client heard that it is taken on.
+    pub fn taken(&mut self, id: WebhookId) {
+        if let Some(track) = self.tracks.get_mut(&id) {
+            track.heard = Heard::Taken;
+        }
+    }
+
+    /// The client heard that it is not taken on.
+    pub fn refused(&mut self, id: WebhookId, at: f64) {
+        let Some(track) = self.tracks.get_mut(&id) else { return };
+        track.heard = Heard::Refused;
+        if track.calls > 0 {
+            self.breaks(Rule::Lost, at, format!("{id} was refused and had been sent"));
+        }
+    }
+
+    /// A call came whole at its receiver.
+    pub fn called(&mut self, id: WebhookId, at: f64) {
+        let window = self.terms.repeat_window;
+        let unread = |restarts: &HashMap<u16, Restarts>, since: f64| {
+            restarts.get(&id.sender).is_some_and(|r| r.down_within(since, since + UNREAD))
+        };
+        let Some(track) = self.tracks.get_mut(&id) else {
+            return self.breaks(Rule::Lost, at, format!("{id} was sent and nobody handed it in"));
+        };
+        let mut found = Vec::new();
+        if track.heard == Heard::Refused {
+            found.push((Rule::Lost, "was sent after it was refused".to_owned()));
+        }
+        if track.noticed.is_some() {
+            found.push((Rule::Lost, "was sent after its final answer".to_owned()));
+        }
+        if let Some(delivered) = track.delivered.filter(|_| !track.crossed)
+            && !unread(&self.restarts, delivered)
+        {
+            found.push((Rule::Lost, "was sent after it was delivered".to_owned()));
+        }
+        if track.out.is_some() {
+            found.push((Rule::Twice, "was sent while an attempt was out".to_owned()));
+        }
+        match (id.event_type, track.ran) {
+            (EventType::AtMostOnce, Some(_)) => {
+                found.push((Rule::Twice, "may have run, and was sent again".to_owned()));
+            }
+            (EventType::Tokened, Some(ran)) if at > ran + window => {
+                found.push((Rule::Twice, "was sent again when its key was forgotten".to_owned()));
+            }
+            _ => {}
+        }
+        track.out = Some(at);
+        track.calls += 1;
+        if let Some((told, until)) = self.waits.get(&(id.sender, id.dest))
+            && (told + self.terms.wait_grace..*until).contains(&at)
+        {
+            found.push((Rule::Waits, format!("was sent {:.3} s before its wait was over", until - at)));
+        }
+        if id.event_type == EventType::Ordered {
+            found.extend(self.orders.called(id, at).map(|text| (Rule::Order, text)));
+        }
+        for (rule, text) in found {
+            self.breaks(rule, at, format!("{id} {text}"));
+        }
+        if let Some(text) = self.returns.called(id, at) {
+            self.breaks(Rule::Returns, at, text);
+        }
+    }
+
+    /// The receiver wrote an answer.
+    pub fn answered(&mut self, id: WebhookId, at: f64, end: CallEnd) {
+        self.orders.over(id);
+        let Some(track) = self.tracks.get_mut(&id) else { return };
+        let Some(called) = track.out.take() else { return };
+        match end {
+            CallEnd::Refused(wait) => {
+                self.returns.saw(id, at);
+                if wait > 0.0 {
+                    self.waits.insert((id.sender, id.dest), (at, at + wait));
+                }
+            }
+            CallEnd::Failed => {
+                track.ran.get_or_insert(called);
+                self.returns.saw(id, at);
+            }
+            CallEnd::Delivered => {
+                track.ran.get_or_insert(called);
+                track.delivered.get_or_insert(at);
+            }
+        }
+    }
+
+    /// The connection of that webhook's last call ended, before or after the call's answer.
+    pub fn connection_ended(&mut self, id: WebhookId, at: f64) {
+        self.orders.over(id);
+        let Some(track) = self.tracks.get_mut(&id) else { return };
+        track.crossed |= track.delivered.is_some_and(|delivered| at < delivered + CROSSING);
+        if let Some(called) = track.out.take() {
+            track.ran.get_or_insert(called);
+            self.returns.saw(id, at);
+        }
+    }
+
+    /// The platform was told that a webhook is given up.
+    pub fn noticed(&mut self, id: WebhookId, at: f64) {
+        let Some(track) = self.tracks.get_mut(&id) else {
+            return self.breaks(Rule::Lost, at, format!("{id} was given up and nobody handed it in"));
+        };
+        // Told again because the acknowledgement did not arrive: the first counts.
+        if track.noticed.is_some() {
+            return;
+        }
+        track.noticed = Some(at);
+        let (deadline, delivered, crossed) = (track.deadline, track.delivered, track.crossed);
+        let restarts = self.restarts.entry(id.sender).or_default();
+        let due = restarts.extend(deadline + self.terms.answer_grace, self.terms.restart_grace);
+        let crossed = crossed || delivered.is_some_and(|d| restarts.down_within(d, d + UNREAD));
+        let in_time = delivered.is_some_and(|d| d < deadline - EDGE);
+        if in_time && !crossed {
+            self.breaks(Rule::Lost, at, format!("{id} was delivered and given up"));
+        } else if at > due && !in_time {
+            self.breaks(Rule::Lost, at, format!("{id} was given up {:.3} s late", at - due));
+        }
+        if id.event_type == EventType::Ordered
+            && let Some(text) = self.orders.given_up(id, at)
+        {
+            self.breaks(Rule::Order, at, format!("{id} {text}"));
+        }
+    }
+
+    /// A sender was told to end, or killed.
+    pub fn sender_down(&mut self, sender: u16, at: f64) {
+        self.restarts.entry(sender).or_default().spans.push((at, None));
+        // A restart ends the waits.
+        self.waits.retain(|(told, _), _| *told != sender);
+    }
+
+    /// It is ready again.
+    pub fn sender_up(&mut self, sender: u16, at: f64) {
+        if let Some((_, up)) = self.restarts.entry(sender).or_default().spans.last_mut() {
+            *up = Some(at);
+        }
+    }
+
+    /// A destination's outage begins, which takes `rate` calls a second when it is well.
+    pub fn outage_began(&mut self, dest: u32, at: f64, rate: f64) {
+        self.returns.began(dest, at, rate);
+    }
+
+    /// The destination is back, and cold.
+    pub fn outage_ended(&mut self, dest: u32, at: f64) {
+        self.returns.ended(dest, at);
+    }
+
+    /// Webhooks that were taken on and are not over.
+    pub fn open(&self) -> u64 {
+        let open = |t: &&Track| t.heard == Heard::Taken && t.delivered.is_none() && t.noticed.is_none();
+        self.tracks.values().filter(open).count() as u64
+    }
+
+    /// What was seen up to `now`. Whoever has no final answer by now and should have is lost.
+    pub fn finish(&mut self, now: f64) -> (Counts, Vec<Breach>) {
+        let mut counts = Counts::default();
+        let mut lost = Vec::new();
+        for (id, track) in &self.tracks {
+            counts.calls += u64::from(track.calls);
+            match track.heard {
+                Heard::Nothing => counts.unanswered += 1,
+                Heard::Refused => counts.refused += 1,
+                Heard::Taken => counts.taken += 1,
+            }
+            let delivered = track.delivered.is_some_and(|d| d < track.deadline + EDGE);
+            counts.delivered += u64::from(delivered);
+            counts.given_up += u64::from(!delivered && track.noticed.is_some());
+            if track.heard != Heard::Taken || delivered || track.noticed.is_some() {
+                continue;
+            }
+            let due = track.deadline + self.terms.answer_grace;
+            let restarts = self.restarts.get(&id.sender);
+            let due = restarts.map_or(due, |r| r.extend(due, self.terms.restart_grace));
+            if now > due { lost.push(*id) } else { counts.open += 1 }
+        }
+        lost.sort_unstable();
+        for id in lost {
+            self.breaks(Rule::Lost, now, format!("{id} was taken on and has no final answer"));
+        }
+        counts.breaches = self.breaches;
+        (counts, std::mem::take(&mut self.told))
+    }
+}
--- /dev/null
+++ b/crates/scale/src/standins/judge/returns.rs
@@ -0,0 +1,102 @@
+//! The rule on returns: after an outage a destination is cold, and the sum of the calls of all senders must not push it
+//! over, where two thirds of them come from senders that saw the outage.
+
+use crate::standins::id::WebhookId;
+use std::collections::{HashMap, HashSet, VecDeque};
+
+/// What a cold destination takes.
+#[derive(Debug, Clone, Copy)]
+pub struct ReturnTerms {
+    /// The part of its rate that it takes right after its return.
+    pub cold_from: f64,
+    /// Seconds until it takes all of it.
+    pub cold: f64,
+    /// It falls over at so many times what it can take,
+    pub fall_multiple: f64,
+    /// sent within so many seconds.
+    pub span: f64,
+}
+
+impl Default for ReturnTerms {
+    fn default() -> Self {
+        ReturnTerms { cold_from: 0.28, cold: 14.0, fall_multiple: 1.5, span: 1.5 }
+    }
+}
+
+impl ReturnTerms {
+    /// Calls that it takes in the span that ends `since` seconds after its return, at `rate` a second when warm.
+    fn allowed(&self, since: f64, rate: f64) -> f64 {
+        let middle = (since - self.span / 2.0).clamp(0.0, self.cold);
+        let part = self.cold_from + (1.0 - self.cold_from) * middle / self.cold;
+        self.fall_multiple * rate * part * self.span
+    }
+
+    /// More calls than that push it over: chance alone brings some more than the mean.
+    fn most(&self, since: f64, rate: f64) -> f64 {
+        let allowed = self.allowed(since, rate);
+        allowed + 2.0 * allowed.sqrt() + 2.0
+    }
+}
+
+struct Outage {
+    rate: f64,
+    began: f64,
+    back: Option<f64>,
+    saw: HashSet<u16>,
+    calls: VecDeque<(f64, u16)>,
+    fell: bool,
+}
+
+/// All outages, the last of each destination.
+pub struct Returns {
+    terms: ReturnTerms,
+    outages: HashMap<u32, Outage>,
+}
+
+impl Returns {
+    pub fn new(terms: ReturnTerms) -> Self {
+        Returns { terms, outages: HashMap::new() }
+    }
+
+    pub fn began(&mut self, dest: u32, at: f64, rate: f64) {
+        let (saw, calls) = (HashSet::new(), VecDeque::new());
+        self.outages.insert(dest, Outage { rate, began: at, back: None, saw, calls, fell: false });
+    }
+
+    pub fn ended(&mut self, dest: u32, at: f64) {
+        if let Some(outage) = self.outages.get_mut(&dest) {
+            outage.back = Some(at);
+        }
+    }
+
+    /// A sender saw a call fail there, or be refused.
+    pub fn saw(&mut self, id: WebhookId, at: f64) {
+        let Some(outage) = self.outages.get_mut(&id.dest) else { return };
+        if at >= outage.began && outage.back.is_none_or(|back| at <= back) {
+            outage.saw.insert(id.sender);
+        }
+    }
+
+    /// A call came. At the first one that pushes the destination over, where the rule is broken, how.
+    pub fn called(&mut self, id: WebhookId, at: f64) -> Option<String> {
+        let outage = self.outages.get_mut(&id.dest)?;
+        let since = at - outage.back?;
+        if since > self.terms.cold || outage.fell {
+            return None;
+        }
+        outage.calls.push_back((at, id.sender));
+        while outage.calls.front().is_some_and(|(earlier, _)| earlier + self.terms.span < at) {
+            outage.calls.pop_front();
+        }
+        let (count, most) = (outage.calls.len(), self.terms.most(since, outage.rate));
+        outage.fell = count as f64 > most;
+        let saw = outage.calls.iter().filter(|(_, sender)| outage.saw.contains(sender)).count();
+        (outage.fell && 3 * saw >= 2 * count).then(|| {
+            let dest = id.dest;
+            format!(
+                "destination {dest} was sent {count} calls {since:.1} s after its return, {most:.1} at most; \
+                 {saw} by senders that saw its outage"
+            )
+        })
+    }
+}
--- /dev/null
+++ b/crates/scale/src/verbs/slope/held.rs
@@ -0,0 +1,152 @@
+//! What a webhook held costs: a backlog that all receivers refuse, a SIGKILL, a start, and its delivery while new ones
+//! come.
+
+use super::{Measured, Quantity, SharedGuard};
+use crate::error::Error;
+use crate::fleet::{Fleet, Plan, judged};
+use crate::standins::clients::Answers;
+use crate::standins::id::EventType;
+use crate::standins::receivers::Behaviour;
+use crate::verbs::load::{Load, Task};
+use nix::sys::signal::Signal;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Counts where none are told.
+pub const POINTS: &[u64] = &[10_000, 30_000, 100_000, 200_000, 300_000];
+const DESTINATIONS: u32 = 100;
+/// Clients that fill the backlog side by side.
+const FILLERS: u32 = 4;
+/// Longer than any point takes: no webhook's time may be over meanwhile.
+const TTL: Duration = Duration::from_secs(3600);
+/// After the backlog stands, before memory is read.
+const SETTLE: Duration = Duration::from_secs(1);
+/// Room on disk for each webhook that may be held: twice what a journal of today's form counts for one, and a tenth more.
+const DISK_EACH: f64 = 1150.0;
+const DISK_BASE_MB: f64 = 4.0;
+/// Webhooks that may be held beside the backlog.
+const MOST_NEW: usize = 5_000;
+/// New webhooks a second while the backlog is delivered.
+const NEW_RATE: f64 = 300.0;
+/// Clients that hand them in side by side: one alone would wait through a pause and so count it once.
+const NEW_CLIENTS: u32 = 10;
+/// Delivery is measured until half of the backlog is delivered, so long at most.
+const DELIVERY: Duration = Duration::from_secs(30);
+/// Filling may not take longer.
+const FILLING: Duration = Duration::from_secs(300);
+
+const RESIDENT: Quantity =
+    Quantity { id: "held.resident_bytes", role: "sender", name: "resident memory", unit: "B" };
+const PEAK: Quantity = Quantity { id: "held.peak_bytes", role: "sender", name: "peak memory", unit: "B" };
+const AFTER_START: Quantity = Quantity {
+    id: "held.resident_after_start_bytes",
+    role: "sender",
+    name: "resident memory after a restart",
+    unit: "B",
+};
+const DISK: Quantity = Quantity { id: "held.disk_bytes", role: "sender", name: "bytes on disk", unit: "B" };
+const READY: Quantity =
+    Quantity { id: "held.ready_seconds", role: "sender", name: "time to ready after SIGKILL", unit: "s" };
+const DELIVERY_TIME: Quantity = Quantity {
+    id: "held.delivery_cpu_seconds",
+    role: "sender",
+    name: "processor time a delivery out of the backlog",
+    unit: "s",
+};
+const ANSWER_P50: Quantity = answer("held.answer_p50_seconds", "median answer while a backlog is delivered");
+const ANSWER_P99: Quantity = answer("held.answer_p99_seconds", "p99 answer while a backlog is delivered");
+const ANSWER_WORST: Quantity =
+    answer("held.answer_worst_seconds", "worst answer while a backlog is delivered");
+
+const fn answer(id: &'static str, name: &'static str) -> Quantity {
+    Quantity { id, role: "client", name, unit: "s" }
+}
+
+/// All quantities with so many webhooks held.
+pub fn measure(program: &Path, count: u64, guard: &SharedGuard) -> Result<Vec<Measured>, Error> {
+    let most = count as usize + MOST_NEW;
+    let disk_mb = DISK_BASE_MB + most as f64 * DISK_EACH / 1e6;
+    let plan = Plan { disk_mb, ..Plan::one(program.to_owned(), DESTINATIONS, most) };
+    let (mut fleet, _) = Fleet::start(&plan, guard)?;
+    fill(&fleet, count)?;
+    guard.stop().sleep(SETTLE);
+    let (memory, disk) = (fleet.senders[0].memory(), fleet.senders[0].disk());
+    let ready = restart(&mut fleet)?;
+    let after_start = fleet.senders[0].memory();
+    let (delivery, answers) = deliver(&fleet, count)?;
+    judged(&fleet.verdict())?;
+    let second = |part| answers.millis(part) / 1e3;
+    Ok([
+        (RESIDENT, memory.resident as f64),
+        (PEAK, memory.peak as f64),
+        (AFTER_START, after_start.resident as f64),
+        (DISK, disk as f64),
+        (READY, ready.as_secs_f64()),
+        (DELIVERY_TIME, delivery),
+        (ANSWER_P50, second(0.5)),
+        (ANSWER_P99, second(0.99)),
+        (ANSWER_WORST, second(1.0)),
+    ]
+    .map(|(quantity, value)| Measured { quantity, value })
+    .to_vec())
+}
+
+fn task(fleet: &Fleet, destinations: Vec<u32>, first: u32, count: u64, rate: f64) -> Task {
+    let (to, event_types) = (fleet.senders[0].listen, vec![EventType::Idempotent]);
+    Task { to, sender: 0, destinations, event_types, ttl: TTL, first, count, rate }
+}
+
+/// Hands in as many as are to be held.
+fn fill(fleet: &Fleet, count: u64) -> Result<(), Error> {
+    let began = Instant::now();
+    let share =
+        |own: u32| count / u64::from(FILLERS) + u64::from(u64::from(own) < count % u64::from(FILLERS));
+    let tasks = (0..FILLERS).map(|own| {
+        let destinations = (0..DESTINATIONS).filter(|dest| dest % FILLERS == own).collect();
+        task(fleet, destinations, 0, share(own), f64::INFINITY)
+    });
+    let load = Load::start(tasks.collect(), &fleet.record, fleet.guard.stop())?;
+    let full = fleet.wait(FILLING, |fleet| Ok(fleet.open() >= count))?;
+    let answers = load.finish()?;
+    tracing::info!(
+        held = answers.taken,
+        refused = answers.refused,
+        unheard = answers.nothing,
+        took = ?began.elapsed(),
+        "filled"
+    );
+    if full { Ok(()) } else { Err(Error::Failed(format!("{} of {count} were taken on", answers.taken))) }
+}
+
+/// Kills the sender and starts it again; how long it took to be ready.
+fn restart(fleet: &mut Fleet) -> Result<Duration, Error> {
+    fleet.record.tell(|judge, now| judge.sender_down(0, now));
+    fleet.senders[0].end(Signal::SIGKILL)?;
+    let took = fleet.senders[0].start()?;
+    fleet.record.tell(|judge, now| judge.sender_up(0, now));
+    Ok(took)
+}
+
+/// Has half of the backlog delivered while new webhooks come. Returns the processor time of a delivery, and the answers
+/// to the new ones.
+fn deliver(fleet: &Fleet, count: u64) -> Result<(f64, Answers), Error> {
+    let sender = &fleet.senders[0];
+    fleet.receivers(|receivers, _| receivers.set_usual(Behaviour::Serve(Duration::ZERO)))?;
+    let new = (0..NEW_CLIENTS).map(|own| {
+        let destinations = (0..DESTINATIONS).filter(|dest| dest % NEW_CLIENTS == own).collect();
+        task(fleet, destinations, u32::MAX / 2, u64::MAX, NEW_RATE / f64::from(NEW_CLIENTS))
+    });
+    let (calls, time) = (fleet.receivers(|receivers, _| receivers.calls())?, sender.processor_time());
+    let load = Load::start(new.collect(), &fleet.record, fleet.guard.stop())?;
+    fleet.wait(DELIVERY, move |fleet| {
+        Ok(fleet.receivers(|receivers, _| receivers.calls())? >= calls + count / 2)
+    })?;
+    let time = sender.processor_time() - time;
+    let calls = fleet.receivers(|receivers, _| receivers.calls())? - calls;
+    let answers = load.finish()?;
+    tracing::info!(calls, time, new = answers.taken, refused = answers.refused, "delivered");
+    if calls == 0 {
+        return Err(Error::Failed("nothing of the backlog was delivered".into()));
+    }
+    Ok((time / calls as f64, answers))
+}
