--- a/crates/scale/src/standins/id.rs
+++ b/crates/scale/src/standins/id.rs
@@ -27,6 +27,16 @@
             EventType::Ordered => "order",
         }
     }
+
+    /// The letter in ids.
+    fn letter(self) -> &'static str {
+        match self {
+            EventType::Idempotent => "i",
+            EventType::Tokened => "t",
+            EventType::AtMostOnce => "a",
+            EventType::Ordered => "o",
+        }
+    }
 }
 
 /// One webhook handed in.
@@ -41,7 +51,7 @@
 
 impl fmt::Display for WebhookId {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let letter = &self.event_type.name()[..1];
+        let letter = self.event_type.letter();
         write!(f, "{letter}-{:x}-{:x}-{:08x}", self.sender, self.dest, self.number)
     }
 }
@@ -57,7 +67,7 @@
         let mut parts = text.split('-');
         let mut part = || parts.next().ok_or(NoId);
         let letter = part()?;
-        let event_type = EventType::ALL.into_iter().find(|t| &t.name()[..1] == letter).ok_or(NoId)?;
+        let event_type = EventType::ALL.into_iter().find(|t| t.letter() == letter).ok_or(NoId)?;
         let mut number = || u32::from_str_radix(part()?, 16).map_err(|_| NoId);
         let sender = u16::try_from(number()?).map_err(|_| NoId)?;
         let id = WebhookId { sender, dest: number()?, number: number()?, event_type };
