Scale: slopes of destinations listed and of senders

destinations: memory, time to ready, bytes of a whole list and the time until one is taken in. senders: tries a second at a destination that is down, list calls and bytes, with rates listed, without, and with lists asked for.

--- a/crates/scale/src/standins/list_service.rs
+++ b/crates/scale/src/standins/list_service.rs
@@ -115,6 +115,22 @@
         }
     }
 
+    /// Answers all who watch with the whole list, in a version of its own.
+    pub fn tell_whole(&mut self, replies: &mut Replies) {
+        self.seq += 1;
+        self.changed_at.insert(self.seq, Instant::now());
+        let watches: Vec<(Connection, Watch)> = self.watches.drain().collect();
+        for (connection, watch) in watches {
+            let bytes = self.whole();
+            self.write(watch.sender, connection, bytes, replies);
+        }
+    }
+
+    /// Bytes of an answer with the whole list.
+    pub fn whole_size(&self) -> usize {
+        self.whole().len()
+    }
+
     /// The version that stands.
     pub fn version(&self) -> u64 {
         self.seq
--- a/crates/scale/src/verbs/slope/mod.rs
+++ b/crates/scale/src/verbs/slope/mod.rs
@@ -1,6 +1,8 @@
 //! The verb `slope`: one quantity after another at several counts, a line through each, written to the file of slopes.
 
+pub mod destinations;
 pub mod held;
+pub mod senders;
 
 use crate::error::Error;
 use crate::guard::{Guard, Limits};
@@ -8,14 +10,43 @@
 use crate::slopes::{Kind, Line, Slope, SlopeFile};
 use crate::verbs::report::progress;
 use bpaf::Bpaf;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Arc;
 
 /// What is counted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Of {
+    Destinations,
     Held,
+    Senders,
+}
+
+impl Of {
+    /// Counts where none are told.
+    fn usual_points(self) -> &'static [u64] {
+        match self {
+            Of::Destinations => destinations::POINTS,
+            Of::Held => held::POINTS,
+            Of::Senders => senders::POINTS,
+        }
+    }
+
+    fn unit(self) -> &'static str {
+        match self {
+            Of::Destinations => "destination listed",
+            Of::Held => "webhook held",
+            Of::Senders => "sender",
+        }
+    }
+
+    fn measure(self, program: &Path, count: u64, guard: &SharedGuard) -> Result<Vec<Measured>, Error> {
+        match self {
+            Of::Destinations => destinations::measure(program, count, guard),
+            Of::Held => held::measure(program, count, guard),
+            Of::Senders => senders::measure(program, count, guard),
+        }
+    }
 }
 
 impl std::str::FromStr for Of {
@@ -23,7 +54,9 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         match text {
+            "destinations" => Ok(Of::Destinations),
             "held" => Ok(Of::Held),
+            "senders" => Ok(Of::Senders),
             _ => Err("is none of destinations, held, senders".into()),
         }
     }
@@ -78,10 +111,7 @@
 
 /// Measures, prints each figure, and writes the lines.
 pub fn run(options: &Options, stop: &Stop) -> Result<(), Error> {
-    let usual = match options.of {
-        Of::Held => held::POINTS,
-    };
-    let points = options.points.as_deref().map_or(Ok(usual.to_vec()), counts)?;
+    let points = options.points.as_deref().map_or(Ok(options.of.usual_points().to_vec()), counts)?;
     let mut programs = options.program.clone();
     if programs.is_empty() {
         programs.push(PathBuf::from("target/release/scalebarrow"));
@@ -98,10 +128,7 @@
     let mut ended = Ok(());
     'all: for count in &points {
         for (program, taken) in programs.iter().zip(&mut taken) {
-            let measured = match options.of {
-                Of::Held => held::measure(program, *count, &guard),
-            };
-            match measured {
+            match options.of.measure(program, *count, &guard) {
                 Ok(measured) => {
                     bar.suspend(|| print(&program.display().to_string(), *count, &measured));
                     taken.extend(measured.into_iter().map(|m| (*count as f64, m)));
@@ -148,9 +175,6 @@
 
 /// A line for each quantity that was measured at two counts or more.
 fn lines(options: &Options, taken: &[(f64, Measured)]) -> Vec<Slope> {
-    let per = match options.of {
-        Of::Held => "webhook held",
-    };
     let mut quantities: Vec<Quantity> = Vec::new();
     for (_, measured) in taken {
         if !quantities.iter().any(|q| q.id == measured.quantity.id) {
@@ -169,7 +193,7 @@
             id: quantity.id.into(),
             role: quantity.role.into(),
             quantity: quantity.name.into(),
-            per: per.into(),
+            per: options.of.unit().into(),
             unit: quantity.unit.into(),
             slope: line.slope,
             base: line.base,
