--- a/crates/scale/src/standins/list_service.rs
+++ b/crates/scale/src/standins/list_service.rs
@@ -72,6 +72,8 @@
     senders: HashMap<SocketAddr, u16>,
     list: Vec<Endpoint>,
     seq: u64,
+    /// What changed before this version is known no more: who asks for it gets the whole list.
+    history_from: u64,
     /// Changed lines with the version that brought each.
     changes: Vec<(u64, Endpoint)>,
     changed_at: HashMap<u64, Instant>,
@@ -89,6 +91,7 @@
             senders,
             list,
             seq: 1,
+            history_from: 1,
             changes: Vec::new(),
             changed_at: HashMap::new(),
             watches: HashMap::new(),
@@ -115,9 +118,12 @@
         }
     }
 
-    /// Answers all who watch with the whole list, in a version of its own.
+    /// Answers all who watch with the whole list, in a version of its own. Changes up to it are known no more, as after a
+    /// restart of the platform.
     pub fn tell_whole(&mut self, replies: &mut Replies) {
         self.seq += 1;
+        self.history_from = self.seq;
+        self.changes.clear();
         self.changed_at.insert(self.seq, Instant::now());
         let watches: Vec<(Connection, Watch)> = self.watches.drain().collect();
         for (connection, watch) in watches {
@@ -167,6 +173,9 @@
     }
 
     fn changes_since(&self, since: u64) -> Vec<u8> {
+        if since < self.history_from {
+            return self.whole();
+        }
         // A line that changed twice is told once, as it is now.
         let mut hosts: Vec<&Endpoint> = Vec::new();
         for (_, line) in self.changes.iter().rev().take_while(|(seq, _)| *seq > since) {
--- a/crates/scale/src/verbs/slope/mod.rs
+++ b/crates/scale/src/verbs/slope/mod.rs
@@ -32,6 +32,14 @@
         }
     }
 
+    fn name(self) -> &'static str {
+        match self {
+            Of::Destinations => "destinations",
+            Of::Held => "held",
+            Of::Senders => "senders",
+        }
+    }
+
     fn unit(self) -> &'static str {
         match self {
             Of::Destinations => "destination listed",
@@ -53,12 +61,9 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        match text {
-            "destinations" => Ok(Of::Destinations),
-            "held" => Ok(Of::Held),
-            "senders" => Ok(Of::Senders),
-            _ => Err("is none of destinations, held, senders".into()),
-        }
+        let all = [Of::Destinations, Of::Held, Of::Senders];
+        let named = all.into_iter().find(|of| of.name() == text);
+        named.ok_or_else(|| "is none of destinations, held, senders".into())
     }
 }
 
@@ -85,6 +90,14 @@
     of: Of,
 }
 
+impl Options {
+    /// The command that gives the same figures, without paths of this machine.
+    fn command(&self) -> String {
+        let points = self.points.as_ref().map_or(String::new(), |points| format!(" --points {points}"));
+        format!("scalebarrow-scale slope {}{points}", self.of.name())
+    }
+}
+
 /// A quantity that a verb measures: its name in the file and what the file says of it.
 #[derive(Debug, Clone, Copy)]
 pub struct Quantity {
@@ -182,7 +195,6 @@
         }
     }
     let commit = options.commit.clone().unwrap_or_else(commit);
-    let verb = std::env::args().skip(1).collect::<Vec<_>>().join(" ");
     let slope = |quantity: Quantity| {
         let own = taken.iter().filter(|(_, m)| m.quantity.id == quantity.id);
         let points: Vec<(f64, f64)> = own.map(|(count, m)| (*count, m.value)).collect();
@@ -201,7 +213,7 @@
             residual: line.residual,
             points,
             kind: Kind::Real,
-            verb: format!("scalebarrow-scale {verb}"),
+            verb: options.command(),
             commit: commit.clone(),
         })
     };
