--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -2,7 +2,7 @@
 
 use bpaf::Bpaf;
 use scalebarrow_scale::error::Error;
-use scalebarrow_scale::verbs::slope;
+use scalebarrow_scale::verbs::{changes, day, restarts, slope};
 use scalebarrow_scale::{capacity, interrupt};
 use std::process::ExitCode;
 
@@ -15,6 +15,15 @@
     /// Measure resources at several counts, fit a line through each, write docs/capacity/slopes.json
     #[bpaf(command)]
     Slope(#[bpaf(external(slope::options))] slope::Options),
+    /// Kill senders, or tell them to end, under load and with a backlog, and start them again
+    #[bpaf(command)]
+    Restarts(#[bpaf(external(restarts::options))] restarts::Options),
+    /// Change the list an hour's worth of times and in a burst, and time until every sender has it
+    #[bpaf(command)]
+    Changes(#[bpaf(external(changes::options))] changes::Options),
+    /// Play a day of load with a part of the destinations down
+    #[bpaf(command)]
+    Day(#[bpaf(external(day::options))] day::Options),
     /// Make the table of docs/CAPACITY.md from docs/capacity/slopes.json
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::options))] capacity::Options),
@@ -24,6 +33,9 @@
     let stop = interrupt::on_signals().map_err(|e| Error::Failed(e.to_string()))?;
     match verb {
         Verb::Slope(options) => slope::run(options, &stop),
+        Verb::Restarts(options) => restarts::run(options, &stop),
+        Verb::Changes(options) => changes::run(options, &stop),
+        Verb::Day(options) => day::run(options, &stop),
         Verb::Capacity(options) => capacity::run(options),
     }
 }
--- a/crates/scale/src/process.rs
+++ b/crates/scale/src/process.rs
@@ -142,7 +142,10 @@
     /// Signals the process and waits for its end. Returns how long that took.
     pub fn end(&mut self, signal: Signal) -> Result<Duration, Error> {
         let began = Instant::now();
-        self.signal(signal)?;
+        // An id that was waited for may be another process's by now.
+        if self.runs() {
+            self.signal(signal)?;
+        }
         if let Some(mut child) = self.child.take() {
             child.wait()?;
             self.guard.remove(child.id());
@@ -150,6 +153,11 @@
         Ok(began.elapsed())
     }
 
+    /// The process has not ended.
+    pub fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// The process's id, while it runs.
     pub fn id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
--- a/crates/scale/src/standins/clients.rs
+++ b/crates/scale/src/standins/clients.rs
@@ -46,6 +46,11 @@
         let _ = self.micros.add(&other.micros);
     }
 
+    /// Webhooks handed in.
+    pub fn total(&self) -> u64 {
+        self.taken + self.refused + self.nothing
+    }
+
     /// Milliseconds that a part of the answers did not exceed.
     pub fn millis(&self, part: f64) -> f64 {
         self.micros.value_at_quantile(part) as f64 / 1e3
--- a/crates/scale/src/standins/judge/mod.rs
+++ b/crates/scale/src/standins/judge/mod.rs
@@ -103,11 +103,14 @@
 struct Restarts {
     /// Each time the sender went down, and when it was ready again.
     spans: Vec<(f64, Option<f64>)>,
+    /// Each time its process ended.
+    ends: Vec<f64>,
 }
 
 impl Restarts {
     fn down_within(&self, from: f64, to: f64) -> bool {
-        self.spans.iter().any(|(down, _)| (from..=to).contains(down))
+        let downs = self.spans.iter().map(|(down, _)| down);
+        downs.chain(&self.ends).any(|down| (from..=to).contains(down))
     }
 
     /// The time from which an answer that was due is late.
@@ -321,6 +324,11 @@
         self.waits.retain(|(told, _), _| *told != sender);
     }
 
+    /// Its process has ended, at once or some time after it was told to.
+    pub fn sender_ended(&mut self, sender: u16, at: f64) {
+        self.restarts.entry(sender).or_default().ends.push(at);
+    }
+
     /// It is ready again.
     pub fn sender_up(&mut self, sender: u16, at: f64) {
         if let Some((_, up)) = self.restarts.entry(sender).or_default().spans.last_mut() {
--- a/crates/scale/src/verbs/load.rs
+++ b/crates/scale/src/verbs/load.rs
@@ -90,3 +90,21 @@
     }
     client.answers
 }
+
+/// Clients for a sender, so many side by side, that share `rate` webhooks a second and all destinations between them.
+pub fn steady(
+    to: SocketAddr, sender: u16, destinations: u32, clients: u32, rate: f64, ttl: Duration,
+) -> Vec<Task> {
+    let share = |own: u32| (0..destinations).filter(|dest| dest % clients == own).collect();
+    let task = |own: u32| Task {
+        to,
+        sender,
+        destinations: share(own),
+        event_types: EventType::ALL.to_vec(),
+        ttl,
+        first: 0,
+        count: u64::MAX,
+        rate: rate / f64::from(clients),
+    };
+    (0..clients.min(destinations)).map(task).collect()
+}
