Scale: receivers at 200 addresses, as one is short of ports at thousands of calls a second

Cause: each call to one of 12,000 destinations mostly opens a connection; all of them to one address ran out of ephemeral ports.

--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -18,15 +18,19 @@
 /// Senders and their addresses at the list service have ports from here on.
 const FIRST_PORT: u16 = 20_000;
 const RECEIVERS_PORT: u16 = 18_081;
+/// Addresses of receivers, which destinations share. A sender that opens a connection for each call to one address alone
+/// would soon be short of ports there, as it never is where destinations have machines of their own.
+const RECEIVERS: u8 = 200;
 /// Between two looks at something that is waited for.
 const LOOK: Duration = Duration::from_millis(10);
 
 /// The parties of a run, by the last part of their address.
 #[derive(Clone, Copy)]
 enum Party {
-    Receivers = 1,
-    Sender = 2,
-    Discovery = 3,
+    Sender = 1,
+    Discovery = 2,
+    /// The first of all receivers.
+    Receivers = 3,
 }
 
 /// Addresses on loopback that no other run uses at the same time.
@@ -47,6 +51,12 @@
     fn of(self, party: Party, port: u16) -> SocketAddr {
         SocketAddr::from(([127, self.process, self.fleet, party as u8], port))
     }
+
+    fn receivers(self) -> Vec<SocketAddr> {
+        let first = Party::Receivers as u8;
+        let at = |own| SocketAddr::from(([127, self.process, self.fleet, first + own], RECEIVERS_PORT));
+        (0..RECEIVERS).map(at).collect()
+    }
 }
 
 /// What a fleet is made of.
@@ -111,10 +121,10 @@
     pub fn prepare(plan: &Plan, guard: &Arc<Guard>) -> Result<Fleet, Error> {
         let (addresses, terms) = (Addresses::new(), Terms::default());
         let record = Record::new(Judge::new(terms.clone()));
-        let dial = addresses.of(Party::Receivers, RECEIVERS_PORT);
-        let receivers = Server::start(&[dial], Receivers::new(record.clone(), plan.behaviour))?;
-        let endpoints: Vec<Endpoint> =
-            (0..plan.destinations).map(|dest| Endpoint::of(dest, dial, plan.rate)).collect();
+        let dials = addresses.receivers();
+        let receivers = Server::start(&dials, Receivers::new(record.clone(), plan.behaviour))?;
+        let endpoint = |dest: u32| Endpoint::of(dest, dials[dest as usize % dials.len()], plan.rate);
+        let endpoints: Vec<Endpoint> = (0..plan.destinations).map(endpoint).collect();
         let places = u16::try_from(plan.instances)
             .map_err(|_| Error::Input(format!("{} senders are too many", plan.instances)))?;
         let discovery = |me: u16| addresses.of(Party::Discovery, FIRST_PORT + me);
