--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::error::Error;
 use crate::guard::Guard;
+use crate::hollow::{HollowSender, HollowSenders, MOST_TOGETHER};
 use crate::process::Sender;
 use crate::settings::SenderSettings;
 use crate::standins::judge::{Breach, Counts, Judge, Terms};
@@ -21,6 +22,12 @@
 /// Addresses of receivers, which destinations share. A sender that opens a connection for each call to one address alone
 /// would soon be short of ports there, as it never is where destinations have machines of their own.
 const RECEIVERS: u8 = 200;
+/// Attempts for one webhook: no run comes near.
+const ATTEMPTS: u32 = 1000;
+/// Connections of a sender; fewer where hundreds of senders meet stand-ins with one process's descriptors.
+const SOCKETS: usize = 256;
+const SOCKETS_AMONG_MANY: usize = 128;
+const SOCKETS_HOLLOW: usize = 64;
 /// Between two looks at something that is waited for.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -66,8 +73,8 @@
     pub program: PathBuf,
     /// Processes of it.
     pub senders: usize,
-    /// Senders that the settings tell of; at least as many as there are processes.
-    pub instances: usize,
+    /// Senders beside them that share processes of the run's own.
+    pub hollow: usize,
     pub destinations: u32,
     /// Calls a second that the list tells for each destination.
     pub rate: f64,
@@ -89,7 +96,7 @@
         Plan {
             program,
             senders: 1,
-            instances: 1,
+            hollow: 0,
             destinations,
             rate: 2000.0,
             rates_listed: true,
@@ -101,6 +108,23 @@
             ttl: Duration::from_secs(3600),
         }
     }
+
+    fn settings(&self, me: u16, listen: SocketAddr, discovery: SocketAddr, sockets: usize) -> SenderSettings {
+        SenderSettings {
+            me,
+            instances: self.senders + self.hollow,
+            listen,
+            discovery,
+            holds: self.holds,
+            slots: self.slots,
+            sockets,
+            disk_mb: self.disk_mb,
+            ttl: self.ttl.as_secs_f64(),
+            attempts: ATTEMPTS,
+            rates_listed: self.rates_listed,
+            asks: self.asks,
+        }
+    }
 }
 
 /// A running fleet. Its processes end when it is dropped.
@@ -110,8 +134,9 @@
     pub receivers: Server<Receivers>,
     pub senders: Vec<Sender>,
     pub guard: Arc<Guard>,
-    /// Addresses of the list service for instances that are no processes of the program.
-    pub spare: Vec<(u16, SocketAddr)>,
+    pub hollow: Vec<HollowSenders>,
+    /// Where each sender listens: the processes of the program first.
+    pub listen: Vec<SocketAddr>,
     pub endpoints: Vec<Endpoint>,
     pub terms: Terms,
 }
@@ -125,35 +150,35 @@
         let receivers = Server::start(&dials, Receivers::new(record.clone(), plan.behaviour))?;
         let endpoint = |dest: u32| Endpoint::of(dest, dials[dest as usize % dials.len()], plan.rate);
         let endpoints: Vec<Endpoint> = (0..plan.destinations).map(endpoint).collect();
-        let places = u16::try_from(plan.instances)
-            .map_err(|_| Error::Input(format!("{} senders are too many", plan.instances)))?;
+        let count = plan.senders + plan.hollow;
+        let places =
+            u16::try_from(count).map_err(|_| Error::Input(format!("{count} senders are too many")))?;
         let discovery = |me: u16| addresses.of(Party::Discovery, FIRST_PORT + me);
         let known: HashMap<SocketAddr, u16> = (0..places).map(|me| (discovery(me), me)).collect();
-        let listen: Vec<SocketAddr> = (0..places).map(discovery).collect();
-        let list = Server::start(&listen, ListService::new(record.clone(), known, endpoints.clone()))?;
-        let mut senders = Vec::new();
-        for me in 0..plan.senders as u16 {
-            let at = addresses.of(Party::Sender, FIRST_PORT + me);
-            let settings = SenderSettings {
-                me,
-                instances: plan.instances,
-                listen: at,
-                discovery: discovery(me),
-                holds: plan.holds,
-                slots: plan.slots,
-                sockets: 256,
-                disk_mb: plan.disk_mb,
-                ttl: plan.ttl.as_secs_f64(),
-                attempts: 1000,
-                rates_listed: plan.rates_listed,
-                asks: plan.asks,
-            };
-            let name = format!("{}-{me}", addresses.fleet);
-            let config = settings.encode(&terms, &endpoints);
-            senders.push(Sender::prepare(&plan.program, &name, at, &config, guard)?);
+        let asked: Vec<SocketAddr> = (0..places).map(discovery).collect();
+        let list = Server::start(&asked, ListService::new(record.clone(), known, endpoints.clone()))?;
+        let listen: Vec<SocketAddr> =
+            (0..places).map(|me| addresses.of(Party::Sender, FIRST_PORT + me)).collect();
+        let sockets = if plan.hollow == 0 { SOCKETS } else { SOCKETS_AMONG_MANY };
+        let config = |me: u16, sockets: usize| {
+            plan.settings(me, listen[usize::from(me)], discovery(me), sockets).encode(&terms, &endpoints)
+        };
+        let (mut senders, mut alike) = (Vec::new(), Vec::new());
+        for me in 0..places {
+            let at = listen[usize::from(me)];
+            if usize::from(me) < plan.senders {
+                let name = format!("{}-{me}", addresses.fleet);
+                senders.push(Sender::prepare(&plan.program, &name, at, &config(me, sockets), guard)?);
+            } else {
+                alike.push(HollowSender { me, listen: at, config: config(me, SOCKETS_HOLLOW) });
+            }
+        }
+        let mut hollow = Vec::new();
+        for (number, group) in alike.chunks(MOST_TOGETHER).enumerate() {
+            let name = format!("{}-hollow-{number}", addresses.fleet);
+            hollow.push(HollowSenders::prepare(&name, group, guard)?);
         }
-        let spare = (plan.senders as u16..places).map(|me| (me, discovery(me))).collect();
-        Ok(Fleet { record, list, receivers, senders, guard: guard.clone(), spare, endpoints, terms })
+        Ok(Fleet { record, list, receivers, senders, guard: guard.clone(), hollow, listen, endpoints, terms })
     }
 
     /// The same, with all senders started and ready, side by side. Returns how long each took.
@@ -164,10 +189,12 @@
             began.push(Instant::now());
             sender.launch()?;
         }
+        fleet.hollow.iter_mut().try_for_each(HollowSenders::launch)?;
         let mut took = Vec::new();
         for (sender, began) in fleet.senders.iter_mut().zip(began) {
             took.push(sender.wait_ready(began)?);
         }
+        fleet.hollow.iter_mut().try_for_each(HollowSenders::wait_ready)?;
         Ok((fleet, took))
     }
 
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod error;
 pub mod fleet;
 pub mod guard;
+pub mod hollow;
 pub mod interrupt;
 pub mod process;
 pub mod settings;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -3,7 +3,7 @@
 use bpaf::Bpaf;
 use scalebarrow_scale::error::Error;
 use scalebarrow_scale::verbs::{changes, day, restarts, slope};
-use scalebarrow_scale::{capacity, interrupt};
+use scalebarrow_scale::{capacity, hollow, interrupt};
 use std::process::ExitCode;
 
 /// Measures what the built sender costs at scale, against stand-ins for list service, receivers and clients that run
@@ -24,18 +24,26 @@
     /// Play a day of load with a part of the destinations down
     #[bpaf(command)]
     Day(#[bpaf(external(day::options))] day::Options),
+    /// Run hollow senders; other verbs start this by themselves
+    #[bpaf(command, hide)]
+    Hollow(#[bpaf(external(hollow::options))] hollow::Options),
     /// Make the table of docs/CAPACITY.md from docs/capacity/slopes.json
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::options))] capacity::Options),
 }
 
 fn run(verb: &Verb) -> Result<(), Error> {
+    // Its senders take the signals themselves.
+    if let Verb::Hollow(options) = verb {
+        return hollow::run(options);
+    }
     let stop = interrupt::on_signals().map_err(|e| Error::Failed(e.to_string()))?;
     match verb {
         Verb::Slope(options) => slope::run(options, &stop),
         Verb::Restarts(options) => restarts::run(options, &stop),
         Verb::Changes(options) => changes::run(options, &stop),
         Verb::Day(options) => day::run(options, &stop),
+        Verb::Hollow(options) => hollow::run(options),
         Verb::Capacity(options) => capacity::run(options),
     }
 }
--- a/crates/scale/src/verbs/changes.rs
+++ b/crates/scale/src/verbs/changes.rs
@@ -28,6 +28,9 @@
     /// Senders
     #[bpaf(long, argument("N"), fallback(10), display_fallback, guard(|n| (1..=40).contains(n), "1 to 40"))]
     pub senders: usize,
+    /// Senders beside them that share processes of the run's own
+    #[bpaf(long, argument("N"), fallback(0), display_fallback, guard(|n| *n <= 520, "520 at most"))]
+    pub hollow: usize,
     /// Destinations listed
     #[bpaf(long, argument("N"), fallback(2000), display_fallback, guard(|n| *n > 0, "above 0"))]
     pub destinations: u32,
@@ -59,13 +62,13 @@
     let guard = Guard::start(Limits::default(), stop)?;
     let plan = Plan {
         senders: options.senders,
-        instances: options.senders,
+        hollow: options.hollow,
         behaviour: Behaviour::Serve(Duration::ZERO),
         asks: options.ask,
         ..Plan::one(options.program.clone(), options.destinations, 300)
     };
     let (fleet, _) = Fleet::start(&plan, &guard)?;
-    let senders = fleet.senders.len();
+    let senders = fleet.listen.len();
     if !fleet.wait(WATCHING, |fleet| Ok(fleet.list(|list, _| list.watching())? == senders))? {
         return Err(Error::Failed("not every sender watches the list".into()));
     }
@@ -107,7 +110,7 @@
     if changes == 0 {
         return Ok(());
     }
-    let senders = fleet.senders.len();
+    let senders = fleet.listen.len();
     let all = fleet.wait(2 * LIMIT, |fleet| Ok(fleet.list(|list, _| list.up_to_date())? == senders))?;
     let mut delays = fleet.list(|list, _| list.take_delays())?;
     let count = delays.len();
@@ -132,12 +135,14 @@
 
 fn cost(fleet: &Fleet) -> Result<Cost, Error> {
     let total = fleet.list(|list, _| list.total())?;
-    let processor = fleet.senders.iter().map(|sender| sender.processor_time()).sum();
+    let real: f64 = fleet.senders.iter().map(|sender| sender.processor_time()).sum();
+    let hollow: f64 = fleet.hollow.iter().map(|group| group.processor_time()).sum();
+    let processor = real + hollow;
     Ok(Cost { at: Instant::now(), bytes: total.list_bytes, calls: total.list_calls, processor })
 }
 
 fn tell_cost(what: &str, fleet: &Fleet, before: Cost, changes: u32) -> Result<(), Error> {
-    let (after, senders) = (cost(fleet)?, fleet.senders.len() as f64);
+    let (after, senders) = (cost(fleet)?, fleet.listen.len() as f64);
     let seconds = (after.at - before.at).as_secs_f64();
     let (bytes, calls) = ((after.bytes - before.bytes) as f64, (after.calls - before.calls) as f64);
     let processor = after.processor - before.processor;
--- a/crates/scale/src/verbs/day.rs
+++ b/crates/scale/src/verbs/day.rs
@@ -15,6 +15,9 @@
 /// After the last webhook's time is up, before the judge speaks.
 const MARGIN: Duration = Duration::from_millis(500);
 
+/// Senders at most, real and hollow.
+pub const MOST_SENDERS: usize = 560;
+
 /// What `day` is told.
 #[derive(Debug, Clone, Bpaf)]
 pub struct Options {
@@ -59,6 +62,9 @@
     pub seconds: f64,
     /// Processes of the program.
     pub senders: usize,
+    /// Senders beside them that share processes of the run's own.
+    #[serde(default)]
+    pub hollow: usize,
     /// Clients of each sender, with one connection each.
     pub clients: u32,
     pub destinations: u32,
@@ -117,6 +123,7 @@
         let above = |value: f64| value > 0.0 && value.is_finite();
         at("seconds", above(self.seconds) && self.seconds <= 3600.0, "must be above 0 and 3600 at most")?;
         at("senders", (1..=40).contains(&self.senders), "must be 1 to 40")?;
+        at("hollow", self.hollow + self.senders <= MOST_SENDERS, "must be 560 at most with senders")?;
         at("clients", (1..=64).contains(&self.clients), "must be 1 to 64")?;
         at("destinations", (1..=120_000).contains(&self.destinations), "must be 1 to 120000")?;
         at("rate", above(self.rate), "must be above 0")?;
@@ -156,7 +163,7 @@
     let ttl = Duration::from_secs_f64(day.ttl);
     let plan = Plan {
         senders: day.senders,
-        instances: day.senders,
+        hollow: day.hollow,
         rate: day.takes(),
         rates_listed: day.rates_listed,
         behaviour: Behaviour::Serve(Duration::from_secs_f64(day.service)),
@@ -171,11 +178,12 @@
         day.senders, day.destinations
     );
     let began = Instant::now();
-    let rate = day.rate / day.senders as f64;
-    let tasks =
-        fleet.senders.iter().enumerate().flat_map(|(me, sender)| {
-            steady(sender.listen, me as u16, day.destinations, day.clients, rate, ttl)
-        });
+    let rate = day.rate / fleet.listen.len() as f64;
+    let tasks = fleet
+        .listen
+        .iter()
+        .enumerate()
+        .flat_map(|(me, at)| steady(*at, me as u16, day.destinations, day.clients, rate, ttl));
     let load = Load::start(tasks.collect(), &fleet.record, stop)?;
     let bar = progress(day.seconds as u64, "day");
     let sleep_until = |seconds: f64| {
--- a/crates/scale/src/verbs/restarts.rs
+++ b/crates/scale/src/verbs/restarts.rs
@@ -65,7 +65,6 @@
     let guard = Guard::start(Limits::default(), stop)?;
     let plan = Plan {
         senders: options.senders,
-        instances: options.senders,
         behaviour: Behaviour::Serve(Duration::from_millis(2)),
         ttl: TTL,
         ..Plan::one(options.program.clone(), DESTINATIONS, options.backlog as usize + 100_000)
@@ -77,10 +76,11 @@
     fleet.receivers(move |receivers, _| {
         set.iter().for_each(|dest| receivers.set(*dest, Some(Behaviour::Refuse)));
     })?;
-    let tasks =
-        fleet.senders.iter().enumerate().flat_map(|(me, sender)| {
-            steady(sender.listen, me as u16, DESTINATIONS, CLIENTS, options.rate, TTL)
-        });
+    let tasks = fleet
+        .listen
+        .iter()
+        .enumerate()
+        .flat_map(|(me, at)| steady(*at, me as u16, DESTINATIONS, CLIENTS, options.rate, TTL));
     let load = Load::start(tasks.collect(), &fleet.record, stop)?;
     let wanted = options.backlog * options.senders as u64;
     fleet.wait(TTL / 2, |fleet| Ok(fleet.open() >= wanted))?;
--- a/crates/scale/src/verbs/slope/mod.rs
+++ b/crates/scale/src/verbs/slope/mod.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// How the figures up to a count come about.
+    fn kind(self, highest: f64) -> Kind {
+        let hollow = self == Of::Senders && highest > senders::MOST_REAL as f64;
+        if hollow { Kind::Emulated } else { Kind::Real }
+    }
+
     fn unit(self) -> &'static str {
         match self {
             Of::Destinations => "destination listed",
@@ -212,7 +218,7 @@
             range,
             residual: line.residual,
             points,
-            kind: Kind::Real,
+            kind: options.of.kind(range.1),
             verb: options.command(),
             commit: commit.clone(),
         })
--- a/crates/scale/src/verbs/slope/senders.rs
+++ b/crates/scale/src/verbs/slope/senders.rs
@@ -12,6 +12,8 @@
 
 /// Counts where none are told.
 pub const POINTS: &[u64] = &[1, 5, 10, 20, 40];
+/// Senders beyond these are hollow.
+pub const MOST_REAL: usize = 40;
 const DESTINATIONS: u32 = 20;
 /// The destination that is down.
 const DOWN: u32 = 0;
@@ -92,8 +94,8 @@
     program: &Path, senders: usize, variant: &Variant, guard: &SharedGuard,
 ) -> Result<Vec<Measured>, Error> {
     let plan = Plan {
-        senders,
-        instances: senders,
+        senders: senders.min(MOST_REAL),
+        hollow: senders.saturating_sub(MOST_REAL),
         rate: RATE,
         rates_listed: variant.rates_listed,
         asks: variant.asks,
@@ -117,8 +119,8 @@
 
 /// Each sender takes on some webhooks for the destination that is down.
 fn hold(fleet: &Fleet) -> Result<(), Error> {
-    let tasks = fleet.senders.iter().enumerate().map(|(sender, process)| Task {
-        to: process.listen,
+    let tasks = fleet.listen.iter().enumerate().map(|(sender, at)| Task {
+        to: *at,
         sender: sender as u16,
         destinations: vec![DOWN],
         event_types: vec![EventType::Idempotent],
