--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -2,7 +2,7 @@
 
 use bpaf::Bpaf;
 use scalebarrow_scale::error::Error;
-use scalebarrow_scale::verbs::{changes, day, restarts, slope};
+use scalebarrow_scale::verbs::{changes, day, restarts, slope, small};
 use scalebarrow_scale::{capacity, hollow, interrupt};
 use std::process::ExitCode;
 
@@ -24,6 +24,9 @@
     /// Play a day of load with a part of the destinations down
     #[bpaf(command)]
     Day(#[bpaf(external(day::options))] day::Options),
+    /// Play each verb in a small form, within a minute; for CI
+    #[bpaf(command)]
+    Small(#[bpaf(external(small::options))] small::Options),
     /// Run hollow senders; other verbs start this by themselves
     #[bpaf(command, hide)]
     Hollow(#[bpaf(external(hollow::options))] hollow::Options),
@@ -43,6 +46,7 @@
         Verb::Restarts(options) => restarts::run(options, &stop),
         Verb::Changes(options) => changes::run(options, &stop),
         Verb::Day(options) => day::run(options, &stop),
+        Verb::Small(options) => small::run(options, &stop),
         Verb::Hollow(options) => hollow::run(options),
         Verb::Capacity(options) => capacity::run(options),
     }
--- a/crates/scale/src/verbs/changes.rs
+++ b/crates/scale/src/verbs/changes.rs
@@ -14,8 +14,6 @@
 
 /// A change has to be in force everywhere by then.
 const LIMIT: Duration = Duration::from_secs(7);
-/// Control without any change is measured for so long.
-const IDLE: Duration = Duration::from_secs(10);
 /// Watches stand everywhere by then.
 const WATCHING: Duration = Duration::from_secs(30);
 
@@ -34,6 +32,9 @@
     /// Destinations listed
     #[bpaf(long, argument("N"), fallback(2000), display_fallback, guard(|n| *n > 0, "above 0"))]
     pub destinations: u32,
+    /// Seconds in which control without any change is measured first
+    #[bpaf(long, argument("SECONDS"), fallback(10.0), display_fallback, guard(|s| *s >= 0.0, "0 or more"))]
+    pub idle: f64,
     /// Changes one after another: an hour's worth is 34
     #[bpaf(long, argument("N"), fallback(34), display_fallback)]
     pub hour: u32,
@@ -73,7 +74,7 @@
         return Err(Error::Failed("not every sender watches the list".into()));
     }
     let idle = cost(&fleet)?;
-    stop.sleep(IDLE);
+    stop.sleep(Duration::from_secs_f64(options.idle));
     tell_cost("no change", &fleet, idle, 0)?;
 
     let bar = progress(u64::from(options.hour), "changes");
--- a/crates/scale/src/verbs/mod.rs
+++ b/crates/scale/src/verbs/mod.rs
@@ -6,3 +6,4 @@
 pub mod report;
 pub mod restarts;
 pub mod slope;
+pub mod small;
--- a/crates/scale/src/verbs/restarts.rs
+++ b/crates/scale/src/verbs/restarts.rs
@@ -20,13 +20,15 @@
 const DESTINATIONS: u32 = 40;
 /// Of so many destinations one refuses until the last restart: a backlog gathers.
 const REFUSING: u32 = 2;
-const TTL: Duration = Duration::from_secs(120);
 /// A sender that was told to end is killed after so long.
 const TERM_LIMIT: Duration = Duration::from_millis(3700);
 /// Between two restarts, at least and at most.
 const PAUSE: (f64, f64) = (0.2, 1.0);
 const TERM_LOOK: Duration = Duration::from_millis(5);
 
+/// After the last webhook's time is up, before the judge speaks.
+const MARGIN: Duration = Duration::from_secs(1);
+
 /// What `restarts` is told.
 #[derive(Debug, Clone, Bpaf)]
 pub struct Options {
@@ -45,6 +47,9 @@
     /// Webhooks that each sender holds before the first restart
     #[bpaf(long, argument("N"), fallback(2000), display_fallback)]
     pub backlog: u64,
+    /// Time to live of a webhook, in seconds
+    #[bpaf(long, argument("SECONDS"), fallback(120.0), display_fallback, guard(|s| *s > 0.0 && *s <= 600.0, "above 0, 600 at most"))]
+    pub ttl: f64,
     /// The moments of the restarts are drawn from this
     #[bpaf(long, argument("SEED"), fallback(1), display_fallback)]
     pub seed: u64,
@@ -63,10 +68,11 @@
 /// Plays it and prints times and counts; an error where a rule is broken.
 pub fn run(options: &Options, stop: &Stop) -> Result<(), Error> {
     let guard = Guard::start(Limits::default(), stop)?;
+    let ttl = Duration::from_secs_f64(options.ttl);
     let plan = Plan {
         senders: options.senders,
         behaviour: Behaviour::Serve(Duration::from_millis(2)),
-        ttl: TTL,
+        ttl,
         ..Plan::one(options.program.clone(), DESTINATIONS, options.backlog as usize + 100_000)
     };
     let (mut fleet, _) = Fleet::start(&plan, &guard)?;
@@ -80,16 +86,16 @@
         .listen
         .iter()
         .enumerate()
-        .flat_map(|(me, at)| steady(*at, me as u16, DESTINATIONS, CLIENTS, options.rate, TTL));
+        .flat_map(|(me, at)| steady(*at, me as u16, DESTINATIONS, CLIENTS, options.rate, ttl));
     let load = Load::start(tasks.collect(), &fleet.record, stop)?;
     let wanted = options.backlog * options.senders as u64;
-    fleet.wait(TTL / 2, |fleet| Ok(fleet.open() >= wanted))?;
+    fleet.wait(ttl / 2, |fleet| Ok(fleet.open() >= wanted))?;
     println!("backlog at the first restart: {} webhooks", fleet.open());
     let played = play(&mut fleet, options);
     fleet.receivers(move |receivers, _| refusing.iter().for_each(|dest| receivers.set(*dest, None)))?;
     let answers = load.finish()?;
     let (mut ready, mut ended) = played?;
-    fleet.wait(TTL + Duration::from_secs(1), |fleet| Ok(fleet.open() == 0))?;
+    fleet.wait(ttl + MARGIN, |fleet| Ok(fleet.open() == 0))?;
     for (what, times) in [("ready after a restart", &mut ready), ("ended after SIGTERM", &mut ended)] {
         if let Some([p50, p99, worst]) = quantiles(times) {
             println!("{what}: p50 {p50:.3} s, p99 {p99:.3} s, worst {worst:.3} s of {}", times.len());
--- a/crates/scale/src/verbs/slope/held.rs
+++ b/crates/scale/src/verbs/slope/held.rs
@@ -9,12 +9,15 @@
 use crate::standins::receivers::Behaviour;
 use crate::verbs::load::{Load, Task};
 use nix::sys::signal::Signal;
+use std::cell::Cell;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
 /// Counts where none are told.
 pub const POINTS: &[u64] = &[10_000, 30_000, 100_000, 200_000, 300_000];
+/// Destinations of the backlog, and one more that always serves.
 const DESTINATIONS: u32 = 100;
+const SERVING: u32 = DESTINATIONS;
 /// Clients that fill the backlog side by side.
 const FILLERS: u32 = 4;
 /// Longer than any point takes: no webhook's time may be over meanwhile.
@@ -32,6 +35,9 @@
 const NEW_CLIENTS: u32 = 10;
 /// Delivery is measured until half of the backlog is delivered, so long at most.
 const DELIVERY: Duration = Duration::from_secs(30);
+/// Clients whose webhooks pass by the backlog, and for how long at most.
+const PASSERS: u32 = 8;
+const PASSING: Duration = Duration::from_secs(60);
 /// Filling may not take longer.
 const FILLING: Duration = Duration::from_secs(300);
 
@@ -53,6 +59,14 @@
     name: "processor time a delivery out of the backlog",
     unit: "s",
 };
+const PASSING_P99: Quantity = answer(
+    "held.passing_answer_p99_seconds",
+    "p99 answer while others pass by the backlog, until the folder was written anew",
+);
+const PASSING_WORST: Quantity = answer(
+    "held.passing_answer_worst_seconds",
+    "worst answer while others pass by the backlog, until the folder was written anew",
+);
 const ANSWER_P50: Quantity = answer("held.answer_p50_seconds", "median answer while a backlog is delivered");
 const ANSWER_P99: Quantity = answer("held.answer_p99_seconds", "p99 answer while a backlog is delivered");
 const ANSWER_WORST: Quantity =
@@ -66,16 +80,17 @@
 pub fn measure(program: &Path, count: u64, guard: &SharedGuard) -> Result<Vec<Measured>, Error> {
     let most = count as usize + MOST_NEW;
     let disk_mb = DISK_BASE_MB + most as f64 * DISK_EACH / 1e6;
-    let plan = Plan { disk_mb, ..Plan::one(program.to_owned(), DESTINATIONS, most) };
+    let plan = Plan { disk_mb, ..Plan::one(program.to_owned(), DESTINATIONS + 1, most) };
     let (mut fleet, _) = Fleet::start(&plan, guard)?;
     fill(&fleet, count)?;
     guard.stop().sleep(SETTLE);
     let (memory, disk) = (fleet.senders[0].memory(), fleet.senders[0].disk());
     let ready = restart(&mut fleet)?;
     let after_start = fleet.senders[0].memory();
+    let passing = pass_by(&fleet)?;
     let (delivery, answers) = deliver(&fleet, count)?;
     judged(&fleet.verdict())?;
-    let second = |part| answers.millis(part) / 1e3;
+    let second = |answers: &Answers, part| answers.millis(part) / 1e3;
     Ok([
         (RESIDENT, memory.resident as f64),
         (PEAK, memory.peak as f64),
@@ -83,9 +98,11 @@
         (DISK, disk as f64),
         (READY, ready.as_secs_f64()),
         (DELIVERY_TIME, delivery),
-        (ANSWER_P50, second(0.5)),
-        (ANSWER_P99, second(0.99)),
-        (ANSWER_WORST, second(1.0)),
+        (PASSING_P99, second(&passing, 0.99)),
+        (PASSING_WORST, second(&passing, 1.0)),
+        (ANSWER_P50, second(&answers, 0.5)),
+        (ANSWER_P99, second(&answers, 0.99)),
+        (ANSWER_WORST, second(&answers, 1.0)),
     ]
     .map(|(quantity, value)| Measured { quantity, value })
     .to_vec())
@@ -127,6 +144,24 @@
     Ok(took)
 }
 
+/// Hands in webhooks that are delivered at once, as fast as they are taken on, until the folder has shrunk: then it was
+/// written anew, or a part of it given up. Returns the answers.
+fn pass_by(fleet: &Fleet) -> Result<Answers, Error> {
+    fleet.receivers(|receivers, _| receivers.set(SERVING, Some(Behaviour::Serve(Duration::ZERO))))?;
+    let first = |own: u32| u32::MAX / PASSERS * own;
+    let tasks = (0..PASSERS).map(|own| task(fleet, vec![SERVING], first(own), u64::MAX, f64::INFINITY));
+    let load = Load::start(tasks.collect(), &fleet.record, fleet.guard.stop())?;
+    let (sender, largest) = (&fleet.senders[0], Cell::new(0));
+    let shrank = fleet.wait(PASSING, |_| {
+        let size = sender.disk();
+        largest.set(largest.get().max(size));
+        Ok(size < largest.get() / 10 * 9)
+    })?;
+    let answers = load.finish()?;
+    tracing::info!(passed = answers.taken, refused = answers.refused, shrank, "others passed by");
+    Ok(answers)
+}
+
 /// Has half of the backlog delivered while new webhooks come. Returns the processor time of a delivery, and the answers
 /// to the new ones.
 fn deliver(fleet: &Fleet, count: u64) -> Result<(f64, Answers), Error> {
--- a/crates/scale/src/verbs/slope/mod.rs
+++ b/crates/scale/src/verbs/slope/mod.rs
@@ -58,7 +58,7 @@
         match self {
             Of::Destinations => destinations::measure(program, count, guard),
             Of::Held => held::measure(program, count, guard),
-            Of::Senders => senders::measure(program, count, guard),
+            Of::Senders => senders::measure(program, count, senders::SPANS, guard),
         }
     }
 }
--- a/crates/scale/src/verbs/slope/senders.rs
+++ b/crates/scale/src/verbs/slope/senders.rs
@@ -22,9 +22,16 @@
 /// Webhooks for it that each sender holds.
 const HELD: u64 = 5;
 const TTL: Duration = Duration::from_secs(3600);
-/// From the first tries on, before they are counted: a sender tries less often the longer a destination is down.
-const SETTLE: Duration = Duration::from_secs(20);
-const COUNTED: Duration = Duration::from_secs(30);
+/// How long each variant is played.
+#[derive(Debug, Clone, Copy)]
+pub struct Spans {
+    /// From the first tries on, before they are counted: a sender tries less often the longer a destination is down.
+    pub settle: Duration,
+    pub counted: Duration,
+}
+
+/// Long enough that a try in some ten seconds is seen.
+pub const SPANS: Spans = Spans { settle: Duration::from_secs(20), counted: Duration::from_secs(30) };
 
 /// How lists and rates come to the senders.
 #[derive(Clone, Copy)]
@@ -82,16 +89,18 @@
 }
 
 /// All quantities with so many senders.
-pub fn measure(program: &Path, count: u64, guard: &SharedGuard) -> Result<Vec<Measured>, Error> {
+pub fn measure(
+    program: &Path, count: u64, spans: Spans, guard: &SharedGuard,
+) -> Result<Vec<Measured>, Error> {
     let mut all = Vec::new();
     for variant in &VARIANTS {
-        all.extend(measure_variant(program, count as usize, variant, guard)?);
+        all.extend(measure_variant(program, count as usize, variant, spans, guard)?);
     }
     Ok(all)
 }
 
 fn measure_variant(
-    program: &Path, senders: usize, variant: &Variant, guard: &SharedGuard,
+    program: &Path, senders: usize, variant: &Variant, spans: Spans, guard: &SharedGuard,
 ) -> Result<Vec<Measured>, Error> {
     let plan = Plan {
         senders: senders.min(MOST_REAL),
@@ -105,10 +114,10 @@
     let (fleet, _) = Fleet::start(&plan, guard)?;
     fleet.receivers(|receivers, _| receivers.begin_outage(DOWN, Behaviour::Fail, RATE))?;
     hold(&fleet)?;
-    guard.stop().sleep(SETTLE);
+    guard.stop().sleep(spans.settle);
     let before = seen(&fleet)?;
     let began = Instant::now();
-    guard.stop().sleep(COUNTED);
+    guard.stop().sleep(spans.counted);
     let (after, took) = (seen(&fleet)?, began.elapsed().as_secs_f64());
     guard.check()?;
     judged(&fleet.verdict())?;
