Scale: slope held keeps below the number of webhooks that may be held

Cause: at that number the module looks through all that is held for one to give up, at each hand-in (a profile: 97% of the time in the rule for no room).

--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -85,6 +85,8 @@
     /// Webhooks that one sender may hold.
     pub holds: usize,
     pub slots: usize,
+    /// Connections of a sender.
+    pub sockets: usize,
     /// What the folder of one sender may hold.
     pub disk_mb: f64,
     pub ttl: Duration,
@@ -104,6 +106,7 @@
             behaviour: Behaviour::Refuse,
             holds,
             slots: 64,
+            sockets: SOCKETS,
             disk_mb: 50.0 + holds as f64 * 2e-3,
             ttl: Duration::from_secs(3600),
         }
@@ -159,7 +162,7 @@
         let list = Server::start(&asked, ListService::new(record.clone(), known, endpoints.clone()))?;
         let listen: Vec<SocketAddr> =
             (0..places).map(|me| addresses.of(Party::Sender, FIRST_PORT + me)).collect();
-        let sockets = if plan.hollow == 0 { SOCKETS } else { SOCKETS_AMONG_MANY };
+        let sockets = if plan.hollow == 0 { plan.sockets } else { SOCKETS_AMONG_MANY };
         let config = |me: u16, sockets: usize| {
             plan.settings(me, listen[usize::from(me)], discovery(me), sockets).encode(&terms, &endpoints)
         };
--- a/crates/scale/src/verbs/slope/held.rs
+++ b/crates/scale/src/verbs/slope/held.rs
@@ -26,9 +26,14 @@
 const SETTLE: Duration = Duration::from_secs(1);
 /// Room on disk for each webhook that may be held: twice what a journal of today's form counts for one, and a tenth more.
 const DISK_EACH: f64 = 1150.0;
-const DISK_BASE_MB: f64 = 4.0;
+const DISK_BASE_MB: f64 = 2.0;
 /// Webhooks that may be held beside the backlog.
-const MOST_NEW: usize = 5_000;
+const MOST_NEW: usize = 2_000;
+/// Webhooks that may be held by the settings, beyond the backlog: room on disk is the limit. Who is at this limit looks
+/// for one to give up at each hand-in, which is another cost than that of a webhook held.
+const MOST_PASSING: usize = 100_000;
+/// Enough that no connection has to make room for another: a new one for each call costs more than the call.
+const SOCKETS: usize = 1024;
 /// New webhooks a second while the backlog is delivered.
 const NEW_RATE: f64 = 300.0;
 /// Clients that hand them in side by side: one alone would wait through a pause and so count it once.
@@ -78,9 +83,9 @@
 
 /// All quantities with so many webhooks held.
 pub fn measure(program: &Path, count: u64, guard: &SharedGuard) -> Result<Vec<Measured>, Error> {
-    let most = count as usize + MOST_NEW;
-    let disk_mb = DISK_BASE_MB + most as f64 * DISK_EACH / 1e6;
-    let plan = Plan { disk_mb, ..Plan::one(program.to_owned(), DESTINATIONS + 1, most) };
+    let disk_mb = DISK_BASE_MB + (count as usize + MOST_NEW) as f64 * DISK_EACH / 1e6;
+    let most = count as usize + MOST_PASSING;
+    let plan = Plan { disk_mb, sockets: SOCKETS, ..Plan::one(program.to_owned(), DESTINATIONS + 1, most) };
     let (mut fleet, _) = Fleet::start(&plan, guard)?;
     fill(&fleet, count)?;
     guard.stop().sleep(SETTLE);
