Verb capacity of scalebarrow-scale, and docs/CAPACITY.md that it makes from the files

Cause: what the fleet at its size asks of each part was nowhere, and a page written by hand would drift from what is measured.

Change: `scalebarrow-scale capacity` reads docs/capacity/slopes.json (not there yet) and docs/capacity/size.toml (the size, limits, formulas, modules, what is missing) and fills the tables of docs/CAPACITY.md; `--check` ends with 1 and a diff where the page is not the one that the files give, bad input with 2, field and line. A constant of the program names the line of code that it stands in, a mechanism its module: both are looked for. Slopes that are not there leave "not measured", also in what is worked out from them. Formulas by exmex, differences by similar.

--- a/crates/scale/src/capacity.rs
+++ b/crates/scale/src/capacity.rs
@@ -1,13 +1,69 @@
-//! Makes the table of the capacity page from the file of slopes.
+//! Makes the tables of the capacity page from the file of slopes and the size to design for.
+//!
+//! `size.rs` reads the size file, `figures.rs` works the figures out, `page.rs` turns them into tables and puts those between
+//! the page's markers. The page is never written by hand between its markers, and CI checks that it is the one that the files
+//! give.
+
+mod figures;
+mod format;
+mod page;
+mod size;
 
 use crate::error::Error;
+use crate::slopes::SlopeFile;
 use bpaf::Bpaf;
+use std::path::{Path, PathBuf};
 
 /// What `capacity` is told.
 #[derive(Debug, Clone, Bpaf)]
-pub struct Options {}
+pub struct Options {
+    /// The root of the repository, from which mechanisms and sources are named
+    #[bpaf(argument("DIR"), fallback(PathBuf::from(".")))]
+    pub root: PathBuf,
+    /// The file of slopes; one that is not there holds none (default: docs/capacity/slopes.json under the root)
+    #[bpaf(argument("FILE"))]
+    pub slopes: Option<PathBuf>,
+    /// The size to design for, and the figures (default: docs/capacity/size.toml under the root)
+    #[bpaf(argument("FILE"))]
+    pub size: Option<PathBuf>,
+    /// The page whose tables are made (default: docs/CAPACITY.md under the root)
+    #[bpaf(argument("FILE"))]
+    pub page: Option<PathBuf>,
+    /// Writes nothing: ends with 1 and a diff if the page is not the one that the files give
+    pub check: bool,
+}
+
+impl Options {
+    /// Every file in its usual place under `root`.
+    pub fn under(root: &Path, check: bool) -> Options {
+        Options { root: root.to_owned(), slopes: None, size: None, page: None, check }
+    }
+
+    fn file(&self, told: &Option<PathBuf>, usual: &str) -> PathBuf {
+        told.clone().unwrap_or_else(|| self.root.join(usual))
+    }
+}
 
-/// Makes the table.
-pub fn run(_options: &Options) -> Result<(), Error> {
-    Err(Error::Failed("not there yet".into()))
+/// Makes the tables, or checks them.
+pub fn run(options: &Options) -> Result<(), Error> {
+    let path = options.file(&options.page, "docs/CAPACITY.md");
+    let slopes = SlopeFile::read(&options.file(&options.slopes, "docs/capacity/slopes.json"))?;
+    let size = size::Size::read(&options.file(&options.size, "docs/capacity/size.toml"), &options.root)?;
+    let figures = figures::Figures::work_out(&size, &slopes)?;
+    let refused = |why: String| Error::Input(format!("{}: {why}", path.display()));
+    let old = std::fs::read_to_string(&path).map_err(|e| refused(e.to_string()))?;
+    let new = page::fill(&old, &page::tables(&size, &figures, &slopes)).map_err(refused)?;
+    if old == new {
+        return Ok(());
+    }
+    if options.check {
+        let diff = similar::TextDiff::from_lines(&old, &new);
+        let diff = diff.unified_diff().header("the page", "what the files give").to_string();
+        return Err(Error::Failed(format!(
+            "{} is not the page that the files give:\n{diff}",
+            path.display()
+        )));
+    }
+    std::fs::write(&path, new)?;
+    Ok(())
 }
