Capacity: the emulator's slope of tries at a destination that is down, and the way in for it

Cause: 560 senders can't be run as processes; how the tries of all of them add up is to be had from the decision module in the emulator.

`slope::commit` is seen by the crate for it.

--- a/crates/scale/src/capacity.rs
+++ b/crates/scale/src/capacity.rs
@@ -1,11 +1,12 @@
 //! Makes the tables of the capacity page from the file of slopes and the size to design for.
 //!
 //! `size.rs` reads the size file, `figures.rs` works the figures out, `page.rs` turns them into tables and puts those between
-//! the page's markers. The page is never written by hand between its markers, and CI checks that it is the one that the files
+//! the page's markers. `lab.rs` takes the slope in that the emulator gives. The page is never written by hand between its markers, and CI checks that it is the one that the files
 //! give.
 
 mod figures;
 mod format;
+mod lab;
 mod page;
 mod size;
 
@@ -29,6 +30,10 @@
     /// The page whose tables are made (default: docs/CAPACITY.md under the root)
     #[bpaf(argument("FILE"))]
     pub page: Option<PathBuf>,
+    /// First takes a slope from this folder, which `scalebarrow-lab sweep experiments/capacity-down.toml --out DIR` wrote,
+    /// into the file of slopes
+    #[bpaf(argument("DIR"))]
+    pub lab: Option<PathBuf>,
     /// Writes nothing: ends with 1 and a diff if the page is not the one that the files give
     pub check: bool,
 }
@@ -36,7 +41,7 @@
 impl Options {
     /// Every file in its usual place under `root`.
     pub fn under(root: &Path, check: bool) -> Options {
-        Options { root: root.to_owned(), slopes: None, size: None, page: None, check }
+        Options { root: root.to_owned(), slopes: None, size: None, page: None, lab: None, check }
     }
 
     fn file(&self, told: &Option<PathBuf>, usual: &str) -> PathBuf {
@@ -47,7 +52,7 @@
 /// Makes the tables, or checks them.
 pub fn run(options: &Options) -> Result<(), Error> {
     let path = options.file(&options.page, "docs/CAPACITY.md");
-    let slopes = SlopeFile::read(&options.file(&options.slopes, "docs/capacity/slopes.json"))?;
+    let slopes = slopes(options)?;
     let size = size::Size::read(&options.file(&options.size, "docs/capacity/size.toml"), &options.root)?;
     let figures = figures::Figures::work_out(&size, &slopes)?;
     let refused = |why: String| Error::Input(format!("{}: {why}", path.display()));
@@ -67,3 +72,17 @@
     std::fs::write(&path, new)?;
     Ok(())
 }
+
+/// The slopes of the file, with the one from the emulator where its folder is told.
+fn slopes(options: &Options) -> Result<SlopeFile, Error> {
+    let path = options.file(&options.slopes, "docs/capacity/slopes.json");
+    let mut slopes = SlopeFile::read(&path)?;
+    if let Some(folder) = &options.lab {
+        if options.check {
+            return Err(Error::Input("--check writes nothing, and --lab does: give one of them".into()));
+        }
+        slopes.put(lab::slope(&options.root, folder, crate::verbs::slope::commit())?);
+        slopes.write(&path)?;
+    }
+    Ok(slopes)
+}
--- a/crates/scale/src/capacity/format.rs
+++ b/crates/scale/src/capacity/format.rs
@@ -8,6 +8,7 @@
         "ms" => time(value / 1e3),
         "s" => time(value),
         "" => number(value),
+        "1/s" => format!("{} a second", number(value)),
         "cores" if value == 1.0 => "1 core".into(),
         _ => format!("{} {unit}", number(value)),
     }
--- a/crates/scale/src/verbs/slope/mod.rs
+++ b/crates/scale/src/verbs/slope/mod.rs
@@ -227,7 +227,7 @@
 }
 
 /// The commit that is checked out, abbreviated; with `+` where files differ from it.
-fn commit() -> String {
+pub(crate) fn commit() -> String {
     let git = |args: &[&str]| {
         let output = Command::new("git").args(args).output().ok()?;
         output.status.success().then(|| String::from_utf8_lossy(&output.stdout).trim().to_owned())
--- a/crates/scale/tests/capacity.rs
+++ b/crates/scale/tests/capacity.rs
@@ -2,6 +2,7 @@
 
 use scalebarrow_scale::capacity::{Options, run};
 use scalebarrow_scale::error::Error;
+use scalebarrow_scale::slopes::{Kind, SlopeFile};
 use std::fs;
 use std::path::{Path, PathBuf};
 
@@ -9,7 +10,7 @@
   {"id": "held.resident_bytes", "role": "sender", "quantity": "resident memory", "per": "webhook held", "unit": "B",
    "slope": 1000.0, "base": 5e6, "points": [[1000, 6e6], [100000, 1.05e8]], "range": [1000, 100000], "residual": 0.01,
    "kind": "real", "verb": "scalebarrow-scale slope held", "commit": "abc1234"},
-  {"id": "down.tries", "role": "receiver", "quantity": "tries", "per": "sender", "unit": "a second",
+  {"id": "down.tries", "role": "receiver", "quantity": "tries", "per": "sender", "unit": "1/s",
    "slope": 0.5, "base": 0.0, "points": [[1, 0.5], [10, 5.0]], "range": [1, 1000], "residual": 0.0,
    "kind": "emulated", "verb": "scalebarrow-lab sweep", "commit": "abc1234"}
 ]}"#;
@@ -64,7 +65,7 @@
 id = "rest"
 table = "machine_lost"
 quantity = "calls"
-unit = "a second"
+unit = "1/s"
 slope = "down.unknown"
 count = "senders"
 limit = "1"
@@ -327,3 +328,93 @@
         assert_eq!(made.page(), page, "case {at}: the page is written all the same");
     }
 }
+
+const EXPERIMENT: &str = r#"
+name = "capacity-down"
+[world.day]
+length_s = 40.0
+window_s = 10.0
+[world.destinations]
+count = 5
+"#;
+
+/// Days of a made-up sweep: senders, and attempts in each span of ten seconds.
+const RUNS: &str = r#"{"point": [["world.senders.count", "10"]], "windows": [{"at_s": 0.0, "attempts": 900}, {"at_s": 10.0, "attempts": 800}, {"at_s": 20.0, "attempts": 90}, {"at_s": 30.0, "attempts": 700}]}
+{"point": [["world.senders.count", "10"]], "windows": [{"at_s": 0.0, "attempts": 900}, {"at_s": 10.0, "attempts": 800}, {"at_s": 20.0, "attempts": 110}, {"at_s": 30.0, "attempts": 700}]}
+{"point": [["world.senders.count", "40"]], "windows": [{"at_s": 0.0, "attempts": 900}, {"at_s": 10.0, "attempts": 800}, {"at_s": 20.0, "attempts": 400}, {"at_s": 30.0, "attempts": 700}]}
+"#;
+
+impl Made {
+    fn with_lab(name: &str) -> Made {
+        let made = Made::new(name);
+        for folder in ["experiments", "lab"] {
+            fs::create_dir_all(made.0.join(folder)).unwrap();
+        }
+        made.put("experiments/capacity-down.toml", EXPERIMENT);
+        made.put("lab/summary.json", r#"{"experiment": "capacity-down"}"#);
+        made.put("lab/runs.jsonl", RUNS);
+        made
+    }
+
+    fn take_lab(&self) -> Result<(), Error> {
+        run(&Options { lab: Some(self.0.join("lab")), ..Options::under(&self.0, false) })
+    }
+}
+
+#[test]
+fn the_emulators_slope_is_that_of_the_second_half_of_its_days() {
+    let made = Made::with_lab("lab");
+    made.take_lab().unwrap();
+    let file = SlopeFile::read(&made.0.join("docs/capacity/slopes.json")).unwrap();
+    assert_eq!(file.slopes.len(), 3, "those that were there stay");
+    let slope = file.get("emulated.down_tries_per_second").unwrap();
+    // 100 and 400 tries in ten seconds at five destinations: 2 and 8 a second at each.
+    assert_eq!(slope.points, [(10.0, 2.0), (40.0, 8.0)]);
+    assert!((slope.slope - 0.2).abs() < 1e-9 && slope.base.abs() < 1e-9, "{slope:?}");
+    assert_eq!((slope.range, slope.kind), ((10.0, 40.0), Kind::Emulated));
+    made.run(true).unwrap();
+}
+
+#[test]
+fn a_lab_folder_that_cannot_be_used_is_refused_and_nothing_is_written() {
+    let cases = [
+        (
+            "lab/summary.json",
+            "capacity-down",
+            "sender-scale",
+            "summary.json: experiment: \"sender-scale\" and not",
+        ),
+        (
+            "lab/runs.jsonl",
+            "\"40\"",
+            "\"many\"",
+            "runs.jsonl: line 3: point: no count for world.senders.count",
+        ),
+        (
+            "lab/runs.jsonl",
+            "\"attempts\": 90}",
+            "\"tries\": 90}",
+            "runs.jsonl: line 1: windows[2]: missing field `attempts`",
+        ),
+        ("lab/runs.jsonl", "\"40\"", "\"10\"", "runs.jsonl: world.senders.count: two counts are needed"),
+        ("experiments/capacity-down.toml", "count = 5", "", "capacity-down.toml: missing field `count`"),
+    ];
+    for (at, (file, from, to, told)) in cases.into_iter().enumerate() {
+        let made = Made::with_lab(&format!("bad-lab-{at}"));
+        let text = fs::read_to_string(made.0.join(file)).unwrap();
+        assert!(text.contains(from), "case {at}: {from:?} is not in {file}");
+        made.put(file, &text.replacen(from, to, 1));
+        let error = made.take_lab().expect_err(&format!("case {at} is taken"));
+        assert_eq!(error.exit_code(), 2, "case {at}: {error}");
+        assert!(error.to_string().contains(told), "case {at}: {error}\ndoes not tell {told:?}");
+        let slopes = fs::read_to_string(made.0.join("docs/capacity/slopes.json")).unwrap();
+        assert_eq!(
+            (made.page().as_str(), slopes.as_str()),
+            (PAGE, SLOPES),
+            "case {at}: something is written"
+        );
+    }
+    let made = Made::with_lab("lab-check");
+    let both = Options { lab: Some(made.0.join("lab")), ..Options::under(&made.0, true) };
+    assert_eq!(run(&both).unwrap_err().exit_code(), 2);
+}
