--- a/crates/scale/src/capacity/page.rs
+++ b/crates/scale/src/capacity/page.rs
@@ -167,8 +167,9 @@
     match (slope, row.count) {
         (Some(slope), Some(times)) => {
             let each = with_unit(slope.slope, &slope.unit);
-            let base = with_unit(slope.base, &slope.unit);
-            format!("{each} x {} + {base} (`{}` x `{count}`)", number(times), slope.id)
+            let sign = if slope.base < 0.0 { '-' } else { '+' };
+            let base = with_unit(slope.base.abs(), &slope.unit);
+            format!("{each} x {} {sign} {base} (`{}` x `{count}`)", number(times), slope.id)
         }
         _ => format!("`{}` x `{count}` + base", row.figure.slope.as_deref().unwrap_or_default()),
     }
@@ -203,11 +204,14 @@
 
 fn missing(size: &Size, figures: &Figures) -> String {
     let row_of = |id: &str| figures.rows.iter().find(|row| row.figure.id.get_ref() == id);
-    let tell = |row: &Row| format!("{}: {}, room {}", row.figure.quantity, value(row), factor(row));
+    let tell = |row: &Row| match row.room() {
+        Some(factor) => format!("{}: {}, room {}", row.figure.quantity, value(row), room(factor)),
+        None => format!("{}: {}", row.figure.quantity, value(row)),
+    };
     let cells = |(at, missing): (usize, &super::size::Missing)| {
         let id = missing.id.get_ref();
         let rows = size.lacking(id).filter_map(|figure| row_of(figure.id.get_ref()));
-        let rows = rows.filter(|row| row.figure.limit.is_some());
+        let rows = rows.filter(|row| row.figure.limit.is_some() && (row.room().is_none() || is_broken(row)));
         let figures = rows.map(tell).collect::<Vec<_>>().join("; ");
         vec![
             (at + 1).to_string(),
@@ -217,7 +221,8 @@
             figures,
         ]
     };
-    let head = ["", "mechanism", "what it does", "why here", "figures that want it, where they have a limit"];
+    let head =
+        ["", "mechanism", "what it does", "why here", "limits that are broken without it, or not measured"];
     markdown(&head, size.missing.iter().enumerate().map(cells))
 }
 
