--- a/crates/scale/src/capacity/figures.rs
+++ b/crates/scale/src/capacity/figures.rs
@@ -1,6 +1,6 @@
 //! Works the figures out: slope times count plus base, or a formula over constants, slopes and figures above it.
 
-use super::size::{Figure, Size};
+use super::size::{Constant, Figure, Size};
 use crate::error::Error;
 use crate::slopes::{Kind, SlopeFile};
 use exmex::{Express, FlatEx};
@@ -47,9 +47,11 @@
 
 impl<'a> Figures<'a> {
     pub fn work_out(size: &'a Size, slopes: &SlopeFile) -> Result<Figures<'a>, Error> {
-        let given = |value| Some(Value { value, rests_on: BTreeSet::new() });
-        let known =
-            size.constant.iter().map(|constant| (constant.id.get_ref().as_str(), given(constant.value)));
+        let given = |constant: &'a Constant| {
+            let rests_on = constant.kind.map(name_of).into_iter().collect();
+            (constant.id.get_ref().as_str(), Some(Value { value: constant.value, rests_on }))
+        };
+        let known = size.constant.iter().map(given);
         let mut names = Names { slopes, known: known.collect() };
         let mut rows = Vec::new();
         for figure in &size.figure {
--- a/crates/scale/src/capacity/format.rs
+++ b/crates/scale/src/capacity/format.rs
@@ -15,13 +15,14 @@
 }
 
 /// From so many seconds on a time is told in a unit of so many seconds.
-const TIMES: [(f64, f64, &str); 6] = [
+const TIMES: [(f64, f64, &str); 7] = [
     (172_800.0, 86_400.0, "days"),
     (7_200.0, 3_600.0, "h"),
     (120.0, 60.0, "min"),
     (1.0, 1.0, "s"),
     (1e-3, 1e-3, "ms"),
-    (0.0, 1e-6, "us"),
+    (1e-6, 1e-6, "us"),
+    (0.0, 1e-9, "ns"),
 ];
 const SIZES: [(f64, f64, &str); 4] = [(1e9, 1e9, "GB"), (1e6, 1e6, "MB"), (1e3, 1e3, "kB"), (0.0, 1.0, "B")];
 
--- a/crates/scale/src/capacity/page.rs
+++ b/crates/scale/src/capacity/page.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 const NOT_MEASURED: &str = "not measured";
+/// A line from which a point lies further off than this share of it is rough.
+const ROUGH: f64 = 0.5;
 
 /// The tables by the name of their region: one for each table that figures name, and `summary`, `missing`, `given`,
 /// `slopes`.
@@ -17,7 +19,7 @@
         (name.to_owned(), details(&rows, slopes))
     };
     let mut tables: BTreeMap<String, String> = names.into_iter().map(table).collect();
-    tables.insert("summary".into(), summary(figures));
+    tables.insert("summary".into(), summary(figures, slopes));
     tables.insert("missing".into(), missing(size, figures));
     tables.insert("given".into(), given(size));
     tables.insert("slopes".into(), measured(slopes));
@@ -80,7 +82,7 @@
 
 /// The figures of the top table, and each that breaks its limit: what breaks first stands first, what is not measured or has
 /// no limit last.
-fn summary(figures: &Figures) -> String {
+fn summary(figures: &Figures, slopes: &SlopeFile) -> String {
     let mut rows: Vec<&Row> = figures.rows.iter().filter(|row| row.figure.top || is_broken(row)).collect();
     rows.sort_by(|a, b| {
         let (a, b) = (a.room().unwrap_or(f64::INFINITY), b.room().unwrap_or(f64::INFINITY));
@@ -93,7 +95,7 @@
             row.figure.table.replace('_', " "),
             row.figure.quantity.clone(),
             value(row),
-            kind(row),
+            kind(row, slopes),
             limit,
             factor(row),
             mechanism(row),
@@ -123,8 +125,8 @@
             row.figure.quantity.clone(),
             working(row, slope),
             value(row),
-            kind(row),
-            slope.map_or_else(|| "-".to_owned(), |slope| measurement(slope, row.count)),
+            kind(row, slopes),
+            slope.map_or_else(|| "-".to_owned(), measurement),
             limit(row),
             factor(row),
             mechanism(row),
@@ -148,16 +150,33 @@
 }
 
 /// Whether it is a measured slope carried to the size, or worked out, and from what.
-fn kind(row: &Row) -> String {
+fn kind(row: &Row, slopes: &SlopeFile) -> String {
     let Some(value) = &row.value else { return "-".to_owned() };
     let from = value.rests_on.iter().copied().collect::<Vec<_>>().join(" and ");
-    match (&row.figure.slope, from.as_str()) {
-        (Some(_), from) => format!("{from} slope"),
+    let slope = row.figure.slope.as_deref().and_then(|id| slopes.get(id));
+    match (slope, from.as_str()) {
+        (Some(slope), from) => format!("{from} slope{}{}", beyond(slope, row.count), rough(slope)),
         (None, "") => "worked out".to_owned(),
         (None, from) => format!("worked out from {from}"),
     }
 }
 
+/// How far the count lies outside of what was measured.
+fn beyond(slope: &Slope, count: Option<f64>) -> String {
+    let (low, high) = slope.range;
+    match count {
+        Some(count) if count > high => {
+            format!(", {} times beyond its fit", number((count / high * 10.0).round() / 10.0))
+        }
+        Some(count) if count < low => ", below its fit".to_owned(),
+        _ => String::new(),
+    }
+}
+
+fn rough(slope: &Slope) -> &'static str {
+    if slope.residual > ROUGH { ", rough" } else { "" }
+}
+
 /// `slope x count + base` with its figures, or the formula.
 fn working(row: &Row, slope: Option<&Slope>) -> String {
     if let Some(formula) = &row.figure.formula {
@@ -175,18 +194,11 @@
     }
 }
 
-fn measurement(slope: &Slope, count: Option<f64>) -> String {
+fn measurement(slope: &Slope) -> String {
     let (low, high) = slope.range;
-    let beyond = match count {
-        Some(count) if count > high => {
-            format!(", {} times beyond it", number((count / high * 10.0).round() / 10.0))
-        }
-        Some(count) if count < low => ", below it".to_owned(),
-        _ => String::new(),
-    };
     let residual = number(slope.residual * 100.0);
     format!(
-        "`{}` at {}, fit from {} to {}{beyond}, residual {residual}%",
+        "`{}` at {}, fit from {} to {}, residual {residual}%",
         slope.verb,
         slope.commit,
         number(low),
@@ -236,7 +248,7 @@
             format!("`{}`", constant.id.get_ref()),
             with_unit(constant.value, &constant.unit),
             constant.is.clone(),
-            from,
+            constant.kind.map_or_else(|| from.clone(), |kind| format!("{from} ({})", name_of(kind))),
         ]
     };
     markdown(&["name", "value", "what it is", "given by"], size.constant.iter().map(cells))
--- a/crates/scale/src/capacity/size.rs
+++ b/crates/scale/src/capacity/size.rs
@@ -1,6 +1,7 @@
 //! The size file: constants, the figures that are worked out from them and from slopes, and what is missing.
 
 use crate::error::Error;
+use crate::slopes::Kind;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::path::Path;
@@ -42,6 +43,8 @@
     pub from: Spanned<String>,
     /// Where `from` is a file: text that stands in it, so that a constant that changes there is noticed here.
     pub line: Option<Spanned<String>>,
+    /// Where it was measured: how.
+    pub kind: Option<Kind>,
 }
 
 /// A figure that is worked out: from a slope and a count, or from a formula.
--- a/crates/scale/tests/capacity.rs
+++ b/crates/scale/tests/capacity.rs
@@ -8,7 +8,7 @@
 
 const SLOPES: &str = r#"{"slopes": [
   {"id": "held.resident_bytes", "role": "sender", "quantity": "resident memory", "per": "webhook held", "unit": "B",
-   "slope": 1000.0, "base": 5e6, "points": [[1000, 6e6], [100000, 1.05e8]], "range": [1000, 100000], "residual": 0.01,
+   "slope": 1000.0, "base": 5e6, "points": [[1000, 6e6], [100000, 1.05e8]], "range": [1000, 100000], "residual": 0.6,
    "kind": "real", "verb": "scalebarrow-scale slope held", "commit": "abc1234"},
   {"id": "down.tries", "role": "receiver", "quantity": "tries", "per": "sender", "unit": "1/s",
    "slope": 0.5, "base": 0.0, "points": [[1, 0.5], [10, 5.0]], "range": [1, 1000], "residual": 0.0,
@@ -75,7 +75,7 @@
 id = "after"
 table = "machine_lost"
 quantity = "calls, all"
-formula = "rest * 2"
+formula = "rest * turn_s"
 
 [[figure]]
 id = "answers"
@@ -91,6 +91,19 @@
 id = "store"
 what = "Bodies on disk."
 reason = "First."
+
+[[constant]]
+id = "turn_s"
+value = 3
+is = "a turn"
+from = "`scalebarrow-scale day` at abc1234"
+kind = "real"
+
+[[figure]]
+id = "turns"
+table = "sender"
+quantity = "two turns"
+formula = "2 * turn_s"
 "#;
 
 const PAGE: &str = "# Page\n\n<!-- begin summary -->\nold\n<!-- end summary -->\n<!-- begin missing -->\n<!-- end missing -->\n\
@@ -155,14 +168,16 @@
         ("| webhooks held |", "`backlog / senders` | 200,000 | worked out | - | - | - | - |"),
         (
             "| memory |",
-            "1 kB x 200,000 + 5 MB (`held.resident_bytes` x `held`) | 205 MB | real slope | \
-             `scalebarrow-scale slope held` at abc1234, fit from 1,000 to 100,000, 2 times beyond it, residual 1% | \
+            "1 kB x 200,000 + 5 MB (`held.resident_bytes` x `held`) | 205 MB | real slope, 2 times beyond its fit, rough | \
+             `scalebarrow-scale slope held` at abc1234, fit from 1,000 to 100,000, residual 60% | \
              128 MB | **0.62** | `src/list.rs`; **missing**: store |",
         ),
         ("| memory a webhook |", "1 kB | worked out from emulated and real | - | - | - | - |"),
         ("| calls |", "`down.unknown` x `senders` + base | not measured | - | - | 1 a second | - | - |"),
-        ("| calls, all |", "`rest * 2` | not measured | - | - | - | - | - |"),
+        ("| calls, all |", "`rest * turn_s` | not measured | - | - | - | - | - |"),
         ("| answers |", "`senders / 4` | 2.5 s | worked out | - | at least 1 s | 2.5 | - |"),
+        ("| two turns |", "`2 * turn_s` | 6 | worked out from real | - | - | - | - |"),
+        ("| `turn_s` |", "3 | a turn | `scalebarrow-scale day` at abc1234 (real) |"),
         ("| `watch_s` |", "2 s | a watch | `src/list.rs`: `const WATCH: u64 = 2;` |"),
         ("| 1 | store |", "Bodies on disk. | First. | memory: 205 MB, room **0.62** |"),
         (
@@ -194,7 +209,12 @@
     made.put("docs/capacity/size.toml", &SIZE.replacen("top = true", "", 1));
     made.run(false).unwrap();
     let page = made.page();
-    assert!(page.contains("| sender | memory | 205 MB | real slope | 128 MB | **0.62** |"), "{page}");
+    assert!(
+        page.contains(
+            "| sender | memory | 205 MB | real slope, 2 times beyond its fit, rough | 128 MB | **0.62** |"
+        ),
+        "{page}"
+    );
 }
 
 #[test]
