--- a/crates/scale/src/capacity.rs
+++ b/crates/scale/src/capacity.rs
@@ -1,7 +1,7 @@
 //! Makes the tables of the capacity page from the file of slopes and the size to design for.
 //!
-//! `size.rs` reads the size file, `figures.rs` works the figures out, `page.rs` turns them into tables and puts those between
-//! the page's markers. `lab.rs` takes the slope in that the emulator gives. The page is never written by hand between its markers, and CI checks that it is the one that the files
+//! `size.rs` reads the size file, `figures.rs` works the figures out, `tables.rs` turns them into tables, and
+//! `page.rs` puts those between the page's markers. `lab.rs` takes the slope in that the emulator gives. The page is never written by hand between its markers, and CI checks that it is the one that the files
 //! give.
 
 mod figures;
@@ -9,6 +9,7 @@
 mod lab;
 mod page;
 mod size;
+mod tables;
 
 use crate::error::Error;
 use crate::slopes::SlopeFile;
@@ -57,7 +58,7 @@
     let figures = figures::Figures::work_out(&size, &slopes)?;
     let refused = |why: String| Error::Input(format!("{}: {why}", path.display()));
     let old = std::fs::read_to_string(&path).map_err(|e| refused(e.to_string()))?;
-    let new = page::fill(&old, &page::tables(&size, &figures, &slopes)).map_err(refused)?;
+    let new = page::fill(&old, &tables::all(&size, &figures, &slopes)).map_err(refused)?;
     if old == new {
         return Ok(());
     }
--- a/crates/scale/src/capacity/figures.rs
+++ b/crates/scale/src/capacity/figures.rs
@@ -26,10 +26,11 @@
 }
 
 impl Row<'_> {
-    /// How often the figure goes into its limit; below one the limit is broken.
+    /// How often the figure goes into its limit; below one the limit is broken. None without a limit, and for a figure of 0.
     pub fn room(&self) -> Option<f64> {
         let (value, limit) = (self.value.as_ref()?.value, self.limit?);
-        Some(if self.figure.at_least { value / limit } else { limit / value })
+        let room = if self.figure.at_least { value / limit } else { limit / value };
+        room.is_finite().then_some(room)
     }
 }
 
