--- a/crates/scale/src/capacity.rs
+++ b/crates/scale/src/capacity.rs
@@ -1,8 +1,8 @@
 //! Makes the tables of the capacity page from the file of slopes and the size to design for.
 //!
-//! `size.rs` reads the size file, `figures.rs` works the figures out, `tables.rs` turns them into tables, and
-//! `page.rs` puts those between the page's markers. `lab.rs` takes the slope in that the emulator gives. The page is never written by hand between its markers, and CI checks that it is the one that the files
-//! give.
+//! `size.rs` reads the size file, `figures.rs` works the figures out, `tables.rs` turns them into tables, and `page.rs` puts
+//! those between the page's markers. `lab.rs` takes in the slope that the emulator gives. Nothing is written by hand between
+//! the markers, and CI checks that the page is the one that the files give.
 
 mod figures;
 mod format;
