--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -123,7 +123,7 @@
 
     /// Processor time of all of them together.
     pub fn processor_time(&self) -> f64 {
-        self.child.as_ref().and_then(|child| processor_time(child.id())).unwrap_or_default()
+        self.child.as_ref().and_then(|child| processor_time(child.id())).unwrap_or_default().ran
     }
 }
 
--- a/crates/scale/src/process.rs
+++ b/crates/scale/src/process.rs
@@ -37,14 +37,24 @@
     Some(Memory { resident: field("VmRSS:")?, peak: field("VmHWM:")? })
 }
 
-/// Seconds of processor time that a process has used; nothing where there is none of that id.
-pub fn processor_time(id: u32) -> Option<f64> {
-    let mut nanos = 0;
+/// Seconds that a process has run on processors, and has waited for one while it could have run.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ProcessorTime {
+    pub ran: f64,
+    pub waited: f64,
+}
+
+/// The processor time of a process with all its threads; nothing where there is none of that id.
+pub fn processor_time(id: u32) -> Option<ProcessorTime> {
+    let mut nanos = [0, 0];
     for task in fs::read_dir(format!("/proc/{id}/task")).ok()?.flatten() {
         let text = fs::read_to_string(task.path().join("schedstat")).ok()?;
-        nanos += text.split(' ').next()?.parse::<u64>().ok()?;
+        for (sum, field) in nanos.iter_mut().zip(text.split(' ')) {
+            *sum += field.parse::<u64>().ok()?;
+        }
     }
-    Some(nanos as f64 / 1e9)
+    let [ran, waited] = nanos.map(|nanos| nanos as f64 / 1e9);
+    Some(ProcessorTime { ran, waited })
 }
 
 /// A folder that is removed with all it holds when this is dropped.
@@ -167,7 +177,12 @@
         self.id().and_then(memory).unwrap_or_default()
     }
 
+    /// Seconds that the process has run on a processor.
     pub fn processor_time(&self) -> f64 {
+        self.processor().ran
+    }
+
+    pub fn processor(&self) -> ProcessorTime {
         self.id().and_then(processor_time).unwrap_or_default()
     }
 
--- a/crates/scale/src/verbs/day.rs
+++ b/crates/scale/src/verbs/day.rs
@@ -4,6 +4,7 @@
 use crate::fleet::{Fleet, Plan};
 use crate::guard::{Guard, Limits};
 use crate::interrupt::Stop;
+use crate::process::ProcessorTime;
 use crate::standins::receivers::Behaviour;
 use crate::verbs::load::{Load, steady};
 use crate::verbs::report::{progress, verdict};
@@ -216,17 +217,19 @@
     verdict(&answers, &fleet.verdict())
 }
 
-/// Prints what the senders used.
+/// Prints what the senders used. Where they waited for a processor longer than they ran, the machine was too busy for
+/// times to say much of the program.
 fn tell_use(fleet: &Fleet, seconds: f64) {
     let mib = |bytes: u64| bytes as f64 / f64::from(1 << 20);
     let peaks: Vec<u64> = fleet.senders.iter().map(|sender| sender.memory().peak).collect();
-    let times: Vec<f64> = fleet.senders.iter().map(|sender| sender.processor_time()).collect();
+    let times: Vec<ProcessorTime> = fleet.senders.iter().map(|sender| sender.processor()).collect();
+    let percent = |sum: f64| sum / times.len() as f64 / seconds * 100.0;
     let most = fleet.guard.most();
     println!(
-        "a sender: {:.1} MiB at the peak at most, {:.1}% of a core on average; the run: {:.0} MiB, {} processes",
+        "a sender: {:.1} MiB at the peak at most; it ran {:.1}% of the time and waited {:.1}% for a processor",
         mib(peaks.into_iter().max().unwrap_or(0)),
-        times.iter().sum::<f64>() / times.len() as f64 / seconds * 100.0,
-        mib(most.memory),
-        most.processes
+        percent(times.iter().map(|time| time.ran).sum()),
+        percent(times.iter().map(|time| time.waited).sum())
     );
+    println!("the run: {:.0} MiB, {} processes", mib(most.memory), most.processes);
 }
