--- a/crates/scale/src/verbs/restarts.rs
+++ b/crates/scale/src/verbs/restarts.rs
@@ -38,9 +38,12 @@
     /// Senders, restarted in turn
     #[bpaf(long, argument("N"), fallback(2), display_fallback, guard(|n| (1..=40).contains(n), "1 to 40"))]
     pub senders: usize,
-    /// Restarts in all; every second one by SIGTERM, the others by SIGKILL
+    /// Restarts in all, by SIGKILL and SIGTERM in turn
     #[bpaf(long, argument("N"), fallback(10), display_fallback)]
     pub restarts: u64,
+    /// Restart by SIGKILL alone
+    #[bpaf(long)]
+    pub kill: bool,
     /// Webhooks a second for each sender
     #[bpaf(long, argument("RATE"), fallback(200.0), display_fallback, guard(|r| *r > 0.0, "above 0"))]
     pub rate: f64,
@@ -115,7 +118,7 @@
         fleet.guard.check()?;
         let me = (restart % options.senders as u64) as u16;
         // Each sender gets both signals in turn.
-        let signal = if (restart / options.senders as u64).is_multiple_of(2) {
+        let signal = if options.kill || (restart / options.senders as u64).is_multiple_of(2) {
             Signal::SIGKILL
         } else {
             Signal::SIGTERM
--- a/crates/scale/src/verbs/small.rs
+++ b/crates/scale/src/verbs/small.rs
@@ -39,6 +39,7 @@
         program: program(),
         senders: 2,
         restarts: 4,
+        kill: false,
         rate: 100.0,
         backlog: 200,
         ttl: 30.0,
