Tests wait until what an endpoint sent has reached the program's side, not 50 ms

Cause: an_endpoint_that_ends_the_connection_as_it_is_used failed once in seven runs of all tests, at load 18 of 8 cores: the end of the connection came more than 50 ms after the call that made it, behind the crowd's requests. Change: arrived() looks at the system's table of connections until the program's side has bytes to read or is no longer established.

--- a/crates/sender/tests/program/crossings/closing.rs
+++ b/crates/sender/tests/program/crossings/closing.rs
@@ -1,7 +1,7 @@
 //! A client's connection, or the process, ends.
 
 use super::{ms, with_manual, with_one_held};
-use crate::helpers::{Crowd, Ledger, OK, Platform, ends, hand_in, hear, list, reset};
+use crate::helpers::{Crowd, Ledger, OK, Platform, arrived, ends, hand_in, hear, list, reset};
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread::sleep;
@@ -119,6 +119,7 @@
         until(3400);
         crowd.speak();
         line.write_all(OK.as_bytes()).unwrap();
+        arrived(line.local_addr().unwrap());
         let mut late = program.connect();
         late.write_all(&hand_in("once", "once-late", 8000, b"")).unwrap();
         late
--- a/crates/sender/tests/program/crossings/endpoints.rs
+++ b/crates/sender/tests/program/crossings/endpoints.rs
@@ -2,7 +2,7 @@
 
 use super::{ms, with_manual};
 use crate::helpers::{
-    Crowd, Ledger, Manual, OK, Platform, Program, address, hand_in, hear, host, list, reset,
+    Crowd, Ledger, Manual, OK, Platform, Program, address, arrived, hand_in, hear, host, list, reset,
 };
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -37,6 +37,7 @@
                 crowd.speak();
             }
             line.write_all(answer.as_bytes()).unwrap();
+            arrived(line.local_addr().unwrap());
         });
         if good {
             ledger.good("once-x");
@@ -61,6 +62,7 @@
         sleep(ms(2600));
         crowd.speak();
         line.write_all(OK.as_bytes()).unwrap();
+        arrived(line.local_addr().unwrap());
     });
     ledger.good("once-x");
     program.logged("outcome=Delivered", 1);
@@ -196,11 +198,13 @@
                 if let Some(crowd) = &mut crowd {
                     crowd.speak();
                 }
+                let at = line.local_addr().unwrap();
                 match what {
                     "noise" => line.write_all(b"HTTP/1.1 200 O").unwrap(),
                     "a reset" => reset(line),
                     _ => drop(line),
                 }
+                arrived(at);
             });
         }
         assert_eq!(hear(&mut client).unwrap().status(), 202);
--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -535,6 +535,23 @@
     }
 }
 
+/// Waits until what was last sent from an endpoint, or its end, has reached the program's side of their only connection:
+/// on a busy machine the system may take longer over that than the call that sends.
+pub fn arrived(endpoint: SocketAddr) {
+    let SocketAddr::V4(at) = endpoint else { panic!("{endpoint} is no address of these tests") };
+    let remote = format!("{:08X}:{:04X}", u32::from_le_bytes(at.ip().octets()), at.port());
+    let still = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        // Established, and nothing to read.
+        fields.get(2) == Some(&remote.as_str()) && fields[3] == "01" && fields[4].ends_with(":00000000")
+    };
+    let since = Instant::now();
+    while std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(still) {
+        assert!(since.elapsed() < LONG, "nothing arrives from {endpoint}");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// What stand-ins saw, and the rules that hold whatever crosses: each webhook that was taken on ends once, by its
 /// delivery or by a notice, and one that may run once is not sent again after it may have run.
 #[derive(Default)]
