Plain names in the sender's configuration

way is crossing_cost, Prices Deductions, Info FamilyInfo, WireEffect RepeatEffect, UNBOUND UNBOUNDED. The fields of the file stay.

--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -45,9 +45,9 @@
 pub struct Settings {
     caps: Caps,
     classes: Vec<EventType>,
-    family_info: Info,
+    family_info: FamilyInfo,
     #[serde(default)]
-    deductions: Option<Prices>,
+    deductions: Option<Deductions>,
     instances: u64,
     /// The zone that this sender runs in.
     #[serde(default)]
@@ -83,7 +83,7 @@
 
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-struct Prices {
+struct Deductions {
     cross_zone: Option<f64>,
 }
 
@@ -108,7 +108,7 @@
     deadline_ms: f64,
     worth: Option<f64>,
     late_value: Option<f64>,
-    effect: WireEffect,
+    effect: RepeatEffect,
     group: Option<String>,
     repeat_window_ms: Option<f64>,
     #[serde(default)]
@@ -117,7 +117,7 @@
 
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(rename_all = "snake_case")]
-enum WireEffect {
+enum RepeatEffect {
     Free,
     Guarded,
     SingleShot,
@@ -132,7 +132,7 @@
 
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-struct Info {
+struct FamilyInfo {
     #[serde(default)]
     bundle_max: Vec<usize>,
     decay: Option<String>,
@@ -177,7 +177,7 @@
 }
 
 /// What stands for a time or rate without bound: its square is still a number.
-const UNBOUND: f64 = 1e150;
+const UNBOUNDED: f64 = 1e150;
 
 fn seconds(ms: Option<f64>, or: f64) -> f64 {
     ms.map_or(or, |ms| ms / 1e3)
@@ -198,7 +198,7 @@
             ("listen", new.listen == self.listen),
             ("name", new.name == self.name),
             ("settings.weights", weights),
-            ("settings.deductions.cross-zone", new.way() == self.way()),
+            ("settings.deductions.cross-zone", new.crossing_cost() == self.crossing_cost()),
         ] {
             if !same {
                 warn!(code = "config-later", field, "a changed value counts from the next start");
@@ -258,7 +258,7 @@
         }
         // Ways are priced, but from where is not told: the sender would take all of them for crossings.
         let own = s.locality.as_ref().is_some_and(|own| s.zones.contains(own));
-        at("settings.locality", self.way() == 0.0 || own, "is none of the zones")?;
+        at("settings.locality", self.crossing_cost() == 0.0 || own, "is none of the zones")?;
         Ok(())
     }
 
@@ -278,9 +278,9 @@
             let (value, late) = (c.worth.unwrap_or(1.0), c.late_value.unwrap_or(0.0));
             sender.set_event_type(&c.name, target, ttl, value, late, halves);
             let effect = match c.effect {
-                WireEffect::Free => Effect::Idempotent,
-                WireEffect::Guarded => Effect::Tokened,
-                WireEffect::SingleShot => Effect::AtMostOnce,
+                RepeatEffect::Free => Effect::Idempotent,
+                RepeatEffect::Guarded => Effect::Tokened,
+                RepeatEffect::SingleShot => Effect::AtMostOnce,
             };
             let by_all = c.group.as_deref() == Some("all");
             sender.set_effect(&c.name, effect, seconds(c.repeat_window_ms, 0.0), by_all, c.fifo_by_key);
@@ -292,17 +292,17 @@
         }
         for zone in &s.zones {
             let own = s.locality.as_ref() == Some(zone);
-            sender.set_way(zone, if own { 0.0 } else { self.way() });
+            sender.set_way(zone, if own { 0.0 } else { self.crossing_cost() });
         }
         for customer in &s.orgs {
-            let quota = customer.quota_per_s.unwrap_or(UNBOUND);
+            let quota = customer.quota_per_s.unwrap_or(UNBOUNDED);
             sender.set_customer(&customer.name, quota, s.over_share_worth.unwrap_or(1.0));
         }
         sender.set_limits(s.family_info.slots, s.caps.open_cap, s.caps.max_attempts, s.caps.cancelling);
         if s.caps.retry_after {
             sender.set_come_back(seconds(s.caps.max_retry_after_ms, 0.0));
         }
-        sender.set_idle(seconds(s.caps.conn_idle_ms, UNBOUND));
+        sender.set_idle(seconds(s.caps.conn_idle_ms, UNBOUNDED));
         sender.set_list(self.asks(), seconds(s.rules.ask_within_ms, 10.0), list::LONGEST_PAUSE);
         let (from, warm) = (s.rules.cold_from.unwrap_or(1.0), seconds(s.rules.cold_ms, 0.0));
         sender.set_cold(from, warm, s.rules.fall_multiple.unwrap_or(1e9));
@@ -320,7 +320,7 @@
     }
 
     /// What a call to another zone costs.
-    fn way(&self) -> f64 {
+    fn crossing_cost(&self) -> f64 {
         self.settings.deductions.as_ref().and_then(|d| d.cross_zone).unwrap_or(0.0)
     }
 
@@ -349,6 +349,6 @@
     pub fn connection_times(&self) -> (f64, f64) {
         let caps = &self.settings.caps;
         // Without a setting, as long as common systems wait for an answer to the first packet.
-        (seconds(caps.conn_idle_ms, UNBOUND), seconds(caps.connect_timeout_ms, 10.0))
+        (seconds(caps.conn_idle_ms, UNBOUNDED), seconds(caps.connect_timeout_ms, 10.0))
     }
 }
