Capacity: a quantity that falls with the count stands at its highest point

Cause: with the cold budget of all senders the tries at a destination that is down no longer grow with the number of senders, and the line through them fell: -0.02 tries a second at 560. Change: Line::fit gives slope 0 and the highest point as base where the line falls; a case in tests/slopes.rs.

--- a/crates/scale/src/slopes.rs
+++ b/crates/scale/src/slopes.rs
@@ -63,7 +63,8 @@
 }
 
 impl Line {
-    /// The least-squares line; nothing where the points lie at fewer than two counts.
+    /// The least-squares line; nothing where the points lie at fewer than two counts. A line that falls is not carried
+    /// further: the quantity does not grow with the count, and its highest point stands.
     pub fn fit(points: &[(f64, f64)]) -> Option<Line> {
         let (counts, values): (Vec<f64>, Vec<f64>) = points.iter().copied().unzip();
         let first = *counts.first()?;
@@ -77,6 +78,8 @@
             .fit_without_statistics()
             .ok()?;
         let [base, slope] = *fit.as_slice() else { return None };
+        let highest = points.iter().map(|point| point.1).fold(f64::NEG_INFINITY, f64::max);
+        let (slope, base) = if slope < 0.0 { (0.0, highest) } else { (slope, base) };
         let distance = |(count, value): &(f64, f64)| {
             let off = (slope * count + base - value).abs();
             if *value == 0.0 { off } else { off / value.abs() }
--- a/crates/scale/tests/slopes.rs
+++ b/crates/scale/tests/slopes.rs
@@ -31,6 +31,8 @@
         (&[(0.0, 5.0), (10.0, 25.0), (20.0, 45.0)], Some((2.0, 5.0, 0.0))),
         // The middle point lies 3 below the line through the means, and is 12 itself.
         (&[(0.0, 6.0), (10.0, 12.0), (20.0, 36.0)], Some((1.5, 3.0, 0.5))),
+        // One that falls stays at its highest point, 3 above the lowest.
+        (&[(0.0, 6.0), (10.0, 3.0), (20.0, 4.0)], Some((0.0, 6.0, 1.0))),
     ] {
         let line = Line::fit(points);
         assert_eq!(line.is_some(), expected.is_some(), "{points:?}");
