crates/store: numbered records in checksummed segments, compacted in bounded steps

Change: a package of its own. Records are appended to segments whose size follows from the limit (a sixteenth of it, 16 KB to 4 MB). A full segment is sealed with a checkpoint, the list of its records without payloads, so that a start reads checkpoints and the unsealed tail. The oldest segment is compacted, in steps of 64 KB and 256 records (8 bytes for each byte appended where more comes, 1 MB at most); strictly oldest first, so that no record of a removal is needed longer than what it removes. The planner (when to seal, what to compact, when a segment may go, whether there is room) does no I/O. All file calls go through the trait `Files`: a folder, memory, and a wrapper that kills, tears, shortens, fills the disk or fails once. The disk limit counts whole blocks of 4 KB and holds with the copies of a segment in it; what is held can be ended.

Tests: one contract for the three kinds of files; properties over any order of operations with a kill before and within each file operation, with a full disk for a while, and with one failure; damaged records cost only themselves; steps are bounded; a start reads no payloads, and what there is also on a full disk; any bytes in a folder are read or refused.

--- /dev/null
+++ b/crates/store/src/memory.rs
@@ -0,0 +1,76 @@
+//! Files in memory.
+
+use crate::files::Files;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::rc::Rc;
+
+/// A folder in memory. Clones share it, as processes that follow each other share a folder.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryFiles(Rc<RefCell<BTreeMap<String, Vec<u8>>>>);
+
+impl MemoryFiles {
+    /// The sum of all lengths.
+    pub fn total(&self) -> u64 {
+        self.0.borrow().values().map(|bytes| bytes.len() as u64).sum()
+    }
+
+    /// A folder of its own with the same content.
+    pub fn copied(&self) -> Self {
+        MemoryFiles(Rc::new(RefCell::new(self.0.borrow().clone())))
+    }
+
+    fn with<T>(&self, name: &str, then: impl FnOnce(&mut Vec<u8>) -> io::Result<T>) -> io::Result<T> {
+        let mut files = self.0.borrow_mut();
+        then(files.get_mut(name).ok_or(ErrorKind::NotFound)?)
+    }
+}
+
+impl Files for MemoryFiles {
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.0.borrow().keys().cloned().collect())
+    }
+
+    fn length(&self, name: &str) -> io::Result<u64> {
+        self.with(name, |bytes| Ok(bytes.len() as u64))
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.0.borrow_mut().insert(name.to_owned(), Vec::new());
+        Ok(())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.with(name, |file| {
+            file.extend_from_slice(bytes);
+            Ok(())
+        })
+    }
+
+    fn read_at(&mut self, name: &str, offset: u64, buffer: &mut [u8]) -> io::Result<()> {
+        self.with(name, |file| {
+            let from = file.get(offset as usize..).ok_or(ErrorKind::UnexpectedEof)?;
+            buffer.copy_from_slice(from.get(..buffer.len()).ok_or(ErrorKind::UnexpectedEof)?);
+            Ok(())
+        })
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.with(name, |file| {
+            file.truncate(length as usize);
+            Ok(())
+        })
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        let mut files = self.0.borrow_mut();
+        let bytes = files.remove(from).ok_or(ErrorKind::NotFound)?;
+        files.insert(to.to_owned(), bytes);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.0.borrow_mut().remove(name).map(drop).ok_or(ErrorKind::NotFound.into())
+    }
+}
