--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -1,14 +1,16 @@
 //! Between the peers and the decision module: what they tell becomes inputs, what the module asks for becomes
 //! records in the journal and actions for the driver. It decides nothing.
 
+use crate::backlog::{Backlog, Resumable};
 use crate::clients::{HandIn, Reply};
 use crate::config::Config;
 use crate::endpoints::{self, Answer, Call, Ending, Load};
-use crate::journal::{End, Journal, Tries, Webhook};
+use crate::journal::{End, Journal, Tries, Webhook, key_hash};
 use crate::list::{Health, News};
 use crate::notices::Notices;
 use scalebarrow::{Entry, ListMode, Outbox, Outcome, Sender};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use tracing::{debug, error, info, warn};
 
@@ -20,6 +22,11 @@
 /// earlier as the module gives up what it holds. A notice for one that is over after all does no harm.
 const TOO_LATE: f64 = 0.005;
 
+/// Webhooks that go back to the module in one turn after a start, at most.
+const RESUMED_AT_ONCE: usize = 100;
+/// Before another try where the folder cannot be read.
+const READ_PAUSE: f64 = 0.1;
+
 /// What the driver is to do.
 #[derive(Debug, PartialEq)]
 pub enum Action {
@@ -94,7 +101,9 @@
     journal: Journal,
     pub notices: Notices,
     places: BTreeMap<String, Place>,
-    numbers: BTreeMap<String, u64>,
+    /// What a start found and the module does not know yet, and until when that rests.
+    backlog: Backlog,
+    resumes_at: Option<f64>,
     /// The ids of those that ended last.
     recent: BTreeSet<String>,
     recent_order: VecDeque<String>,
@@ -105,55 +114,86 @@
 }
 
 impl Bridge {
-    /// The module as the journal left it: what is still open goes back to it, what is owed is due again.
-    pub fn open(config: Config, journal: Journal, now: f64) -> Self {
-        let (asked, notices) = (Asked::default(), Notices::new());
-        let (places, numbers, next) = (BTreeMap::new(), BTreeMap::new(), journal.next_number());
-        let (recent, recent_order) = (BTreeSet::new(), VecDeque::new());
-        let (sender, reports, event_types) = (config.open(now), config.reports(), config.event_types());
+    /// The module as the journal left it, but for what is still open: that goes back to it with [`Bridge::step`]. What is
+    /// owed is due again.
+    pub fn open(config: Config, mut journal: Journal, now: f64) -> Self {
+        let backlog = journal.take_resumable().into_iter().collect();
         let mut bridge = Bridge {
-            sender,
-            asked,
+            sender: config.open(now),
+            asked: Asked::default(),
+            notices: Notices::new(),
+            places: BTreeMap::new(),
+            backlog,
+            resumes_at: None,
+            recent: BTreeSet::new(),
+            recent_order: VecDeque::new(),
+            next: journal.next_number(),
+            event_types: config.event_types(),
+            reports: config.reports(),
             journal,
-            notices,
-            places,
-            numbers,
-            recent,
-            recent_order,
-            next,
-            event_types,
-            reports,
             config,
         };
         bridge.journal.all_owed().into_iter().for_each(|number| bridge.notices.push(number));
         bridge.journal.take_ended().into_iter().for_each(|id| bridge.remember(id));
         let known = std::mem::take(&mut bridge.config.known.hosts);
         bridge.list(now, &News { seq: 0, whole: true, hosts: known }, true);
-        for (number, w, tries) in bridge.journal.open_webhooks() {
-            bridge.numbers.insert(w.id.clone(), number);
-            let ran = tries.ran.as_ref().or(tries.out.as_ref()).map(|(zone, at)| (zone.as_str(), *at));
-            let (key, customer) = (w.order_key.as_deref(), w.customer.as_deref());
-            let left = w.ends_at - now;
-            let (out, first) = (tries.out.is_some(), told(tries, now));
-            info!(code = "resumed", id = w.id, tries = tries.count, out, first, left, "back from the folder");
-            let out = &mut bridge.asked;
-            bridge.sender.resumed(
-                now,
-                number,
-                &w.event_type,
-                w.dest,
-                key,
-                customer,
-                left,
-                tries.count,
-                ran,
-                out,
-            );
-        }
-        bridge.settle();
         bridge
     }
 
+    /// A bounded part of what can be done between turns: the journal is compacted, and what a start found goes back to
+    /// the module.
+    pub fn step(&mut self, now: f64) {
+        if let Err(e) = self.journal.step() {
+            warn!(code = "journal-write", %e, "the journal cannot be compacted");
+        }
+        if self.resumes_at.is_some_and(|at| now < at) {
+            return;
+        }
+        self.resumes_at = None;
+        for _ in 0..RESUMED_AT_ONCE {
+            let Some(next) = self.backlog.next(now) else { break };
+            self.resume(now, next);
+            if self.resumes_at.is_some() {
+                break;
+            }
+        }
+    }
+
+    /// A webhook that was taken on by an earlier process, or waited behind one, goes to the module.
+    fn resume(&mut self, now: f64, next: Resumable) {
+        let number = next.number;
+        let webhook = match self.journal.webhook(number) {
+            Ok(Some(webhook)) => webhook,
+            Ok(None) => return,
+            Err(error) if error.kind() == ErrorKind::InvalidData => {
+                error!(code = "journal-read", number, %error, "a webhook is damaged and given up");
+                return self.close(number, End::Over);
+            }
+            Err(error) => {
+                error!(code = "journal-read", number, %error, "a webhook cannot be read yet");
+                self.backlog.add(next);
+                self.resumes_at = Some(now + READ_PAUSE);
+                return self.asked.actions.push(Action::Wake(READ_PAUSE));
+            }
+        };
+        let tries = self.journal.tries(number);
+        let (out, first, left) = (tries.out.is_some(), told(&tries, now), webhook.ends_at - now);
+        info!(
+            code = "resumed",
+            id = webhook.id,
+            tries = tries.count,
+            out,
+            first,
+            left,
+            "back from the folder"
+        );
+        let ran = tries.ran.as_ref().or(tries.out.as_ref()).map(|(zone, at)| (zone.as_str(), *at));
+        let (key, customer) = (webhook.order_key.as_deref(), webhook.customer.as_deref());
+        let (event_type, dest, out) = (&webhook.event_type, webhook.dest, &mut self.asked);
+        self.sender.resumed(now, number, event_type, dest, key, customer, left, tries.count, ran, out);
+        self.settle();
+    }
+
     /// The configuration was read again. What is held and owed goes on.
     pub fn reread(&mut self, config: Config) {
         config.tell(&mut self.sender);
@@ -192,18 +232,21 @@
     }
 
     fn close(&mut self, number: u64, end: End) {
-        let Some(webhook) = self.journal.open_webhook(number) else { return };
-        if end != End::Over {
-            let tries = self.journal.tries(number).map_or(0, |t| t.count);
-            let (id, dest, ends_at) = (&webhook.id, webhook.dest, webhook.ends_at);
-            info!(code = "given-up", id, dest, ?end, tries, ends_at, "a final answer is owed");
+        if !self.journal.is_open(number) {
+            return;
         }
-        let id = webhook.id.clone();
-        self.numbers.remove(&id);
-        self.remember(id);
+        self.backlog.remove(number);
+        let (webhook, tries) = (self.journal.open_webhook(number), self.journal.tries(number).count);
         if let Err(e) = self.journal.end(number, end) {
             error!(code = "journal-write", %e, "a final answer could not be written; it may come again after a restart");
         }
+        if let Some(webhook) = webhook {
+            if end != End::Over {
+                let (id, dest, ends_at) = (&webhook.id, webhook.dest, webhook.ends_at);
+                info!(code = "given-up", id, dest, ?end, tries, ends_at, "a final answer is owed");
+            }
+            self.remember(webhook.id.clone());
+        }
         if end != End::Over {
             self.notices.push(number);
         }
@@ -213,18 +256,23 @@
     pub fn hand_in(&mut self, now: f64, from: HandIn, body: Vec<u8>) -> (Reply, Option<u64>) {
         // Handed in once more because its connection closed under it, or by somebody else: it is taken on already, and
         // what was taken on stays as it is, whether it is open or just over.
-        if self.numbers.contains_key(&from.id) || self.recent.contains(&from.id) {
+        if self.recent.contains(&from.id) || self.journal.find(&from.id).is_some() {
             debug!(code = "known", id = from.id, "handed in again: it is taken on already");
             return (Reply::Taken, None);
         }
         let (ends_at, left) = (now + from.left, from.left);
         let HandIn { id, event_type, dest, order_key, customer, token, .. } = from;
         let webhook = Webhook { id, event_type, dest, order_key, customer, token, ends_at, body };
-        if !self.journal.has_room(&webhook) {
+        // As long as the module does not know all that is held, it cannot judge whether there are too many.
+        let too_many = !self.backlog.is_empty() && self.journal.open_count() >= self.config.size().1;
+        if too_many || !self.journal.has_room(&webhook) {
             return (Reply::NoRoom, None);
         }
         let number = self.next;
         self.next += 1;
+        if let Some(key) = self.waits_behind(&webhook) {
+            return self.take_behind(number, webhook, key);
+        }
         let (key, customer) = (webhook.order_key.as_deref(), webhook.customer.as_deref());
         self.sender.webhook(now, number, &webhook.event_type, dest, key, customer, left, &mut self.asked);
         let at_once = self.asked.ends.iter().find(|e| e.0 == number).map(|e| e.1);
@@ -236,7 +284,6 @@
             (Some(_), _) | (None, None) => (Reply::Status(500), None),
             (None, Some(Ok(()))) => {
                 debug!(code = "taken", id, number, dest, left, "a webhook is taken on");
-                self.numbers.insert(id, number);
                 (Reply::Taken, Some(number))
             }
             (None, Some(Err(e))) => {
@@ -248,13 +295,31 @@
         }
     }
 
+    /// The hash of a webhook's order key, where others with it are not back in the module yet.
+    fn waits_behind(&self, webhook: &Webhook) -> Option<u64> {
+        let key = webhook.order_key.as_deref().filter(|_| self.config.is_ordered(&webhook.event_type))?;
+        Some(key_hash(key)).filter(|key| self.backlog.has_key(*key))
+    }
+
+    /// Takes a webhook on that goes to the module only behind others with its order key.
+    fn take_behind(&mut self, number: u64, webhook: Webhook, key: u64) -> (Reply, Option<u64>) {
+        let (id, ends_at) = (webhook.id.clone(), webhook.ends_at);
+        if let Err(e) = self.journal.take(number, webhook) {
+            error!(code = "journal-write", %e, "a webhook could not be taken on");
+            return (Reply::NoRoom, None);
+        }
+        debug!(code = "taken", id, number, "a webhook is taken on and waits for others with its key");
+        self.backlog.add(Resumable { number, ends_at, key: Some(key) });
+        (Reply::Taken, Some(number))
+    }
+
     /// The client went away before it heard that its webhook is taken on.
     pub fn withdrawn(&mut self, now: f64, number: u64) {
         if let Some(webhook) = self.journal.open_webhook(number) {
             let id = &webhook.id;
             info!(code = "withdrawn", id, number, "its client went away before it heard that it is taken on");
-            self.numbers.remove(id);
         }
+        self.backlog.remove(number);
         // Its client may hand it in again.
         if let Err(e) = self.journal.withdraw(number) {
             warn!(code = "journal-write", %e, "a withdrawal could not be written; it may come again after a restart");
@@ -337,12 +402,12 @@
             );
             let late = |w: &Webhook| now > w.ends_at - TOO_LATE && ending.outcome == Outcome::Delivered;
             if ending.over {
-                let late = self.journal.open_webhook(*number).is_some_and(late);
+                let late = self.journal.open_webhook(*number).is_some_and(|webhook| late(&webhook));
                 self.close(*number, if late { End::DeadLettered } else { End::Over });
             } else if let Err(e) = self.journal.back(*number, may_run) {
                 warn!(code = "journal-write", %e, "an outcome could not be written: it counts as one that may have run");
             }
-            let over = self.journal.open_webhook(*number).is_none();
+            let over = !self.journal.is_open(*number);
             let took = now - call.decided_at;
             let (ep, outcome) = (&call.ep, ending.outcome);
             debug!(code = "back", number, ep, ?outcome, took, over, ?report, "an attempt is back");
@@ -376,9 +441,10 @@
             }
         }
         for mut call in std::mem::take(&mut calls) {
-            let webhooks = call.webhooks.iter().filter_map(|(number, _)| self.journal.open_webhook(*number));
-            let loads: Vec<Load> =
-                webhooks.map(|w| Load { id: &w.id, token: w.token.as_deref(), body: &w.body }).collect();
+            let numbers = call.webhooks.iter().map(|(number, _)| *number);
+            let webhooks: Vec<_> = numbers.filter_map(|number| self.journal.open_webhook(number)).collect();
+            let loads = webhooks.iter().map(|w| Load { id: &w.id, token: w.token.as_deref(), body: &w.body });
+            let loads: Vec<Load> = loads.collect();
             let host = self.places.get(&call.ep).map(|p| p.dial.to_string()).unwrap_or_default();
             match endpoints::encode(&loads, &host, call.stop_at - now) {
                 Some(bytes) => calls.push(Call { bytes, ..call }),
@@ -412,8 +478,9 @@
         for (number, id) in &call.webhooks {
             debug!(code = "out", id, number, ep = call.ep, zone = call.zone, held, "an attempt goes out");
             // A repeat is rare, and what on-call looks for first where an effect came twice.
-            if let Some(tries) = self.journal.tries(*number).filter(|t| t.ran.is_some() || t.out.is_some()) {
-                let (ep, zone, first) = (&call.ep, &call.zone, told(tries, now));
+            let tries = self.journal.tries(*number);
+            if tries.ran.is_some() || tries.out.is_some() {
+                let (ep, zone, first) = (&call.ep, &call.zone, told(&tries, now));
                 info!(
                     code = "repeat",
                     id,
@@ -438,9 +505,13 @@
 
     pub fn notice(&mut self, host: &SocketAddr) -> Vec<u8> {
         let Bridge { notices, journal, .. } = self;
-        let call = notices.call(host, |number| journal.owed(number));
-        let ids = || notices.out().iter().filter_map(|number| Some(journal.owed(*number)?.0));
-        debug!(code = "notice", ids = ?ids().collect::<Vec<_>>(), "final answers are told");
+        let mut ids = Vec::new();
+        let call = notices.call(host, |number| {
+            let (id, end) = journal.owed(number)?;
+            ids.push(id.clone());
+            Some((id, end))
+        });
+        debug!(code = "notice", ?ids, "final answers are told");
         call
     }
 
@@ -453,13 +524,15 @@
         }
     }
 
-    /// The module asked for something that was not yet looked at.
+    /// The module asked for something that was not yet looked at, or a step is to be made.
     pub fn has_work(&self) -> bool {
-        !self.asked.actions.is_empty() || !self.asked.attempts.is_empty()
+        let resumes = !self.backlog.is_empty() && self.resumes_at.is_none();
+        let asked = !self.asked.actions.is_empty() || !self.asked.attempts.is_empty();
+        asked || resumes || self.journal.needs_step()
     }
 
     /// Nothing is held and nothing is owed.
     pub fn is_idle(&self) -> bool {
-        self.numbers.is_empty() && self.notices.is_empty()
+        self.journal.open_count() == 0 && self.notices.is_empty()
     }
 }
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -339,6 +339,11 @@
         self.settings.classes.iter().map(|c| c.name.clone()).collect()
     }
 
+    /// Webhooks of an event type with one order key go one at a time.
+    pub fn is_ordered(&self, event_type: &str) -> bool {
+        self.settings.classes.iter().any(|c| c.name == event_type && c.fifo_by_key)
+    }
+
     /// Webhooks in one call at most, for a kind of destination.
     pub fn batch(&self, kind: &str) -> usize {
         let at = self.settings.models.iter().position(|m| m == kind);
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -110,7 +110,8 @@
     let bridge = Bridge::open(config, journal, now);
     // Until here SIGTERM ends the process at once: it has taken nothing on. From here on it ends as planned.
     let mut shutdown_signals = signal_pipe(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
-    // All that was taken on is back in the module: only now can a client reach this sender.
+    // All that was taken on is known again, though the module hears of it only bit by bit: from now on clients can reach
+    // this sender.
     let mut listener = TcpListener::bind(listen).map_err(named(format!("listen on {listen}")))?;
     let poll = Poll::new()?;
     poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
--- a/crates/sender/src/driver/event_loop.rs
+++ b/crates/sender/src/driver/event_loop.rs
@@ -52,6 +52,7 @@
             if self.expire_timers() {
                 return Ok(());
             }
+            self.bridge.step(self.now);
             self.end_turn();
         }
     }
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -1,339 +1,376 @@
-//! The lasting folder: what was taken on, what was tried, how it ended. Records are appended, each with its
-//! length and checksum; a torn tail is dropped. It is written anew when it has grown, so that the old and the
-//! new file together stay within the limit.
-
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
-use std::path::{Path, PathBuf};
-
-/// The first bytes of a journal; another number for another form.
-const MARK: &[u8; 8] = b"SBARROW1";
-/// Length and checksum.
-const FRAME: usize = 8;
-/// Room kept for what must still be written about webhooks that were taken on.
-const SPARE: usize = 64 * 1024;
-/// A webhook's further records until the next compaction, roughly; they count as soon as it is taken on.
-const UPKEEP: usize = 256;
-/// Files count in whole blocks; a margin for the two files.
-const BLOCKS: usize = 4 * 512;
-
-/// A final answer.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub enum End {
-    /// Delivered, withdrawn, or known by the destination to be over: nothing is owed.
-    Over,
-    /// Handing it in again does no harm, after so many seconds (0: nothing said).
-    Rejected(f64),
-    DeadLettered,
-}
-
-/// A webhook as it was taken on. Times are Unix time in seconds.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Webhook {
-    pub id: String,
-    pub event_type: String,
-    pub dest: u64,
-    pub order_key: Option<String>,
-    pub customer: Option<String>,
-    pub token: Option<String>,
-    pub ends_at: f64,
-    pub body: Vec<u8>,
-}
-
-/// Where an attempt went, by zone, and when.
-pub type Trace = (String, f64);
-
-/// What is known of the attempts for a webhook.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Tries {
-    pub count: u32,
-    pub out: Option<Trace>,
-    /// The first that may have run.
-    pub ran: Option<Trace>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-enum Record {
-    Taken(u64, Webhook, Tries),
-    Out(u64, Trace),
-    /// An attempt came back; true where it may have run.
-    Back(u64, bool),
-    Ended(u64, String, End),
-    /// The notice was acknowledged.
-    Told(u64),
-}
-
-#[derive(Debug)]
-enum Entry {
-    Open { webhook: Webhook, tries: Tries, size: usize },
-    Owed { id: String, end: End },
-}
-
-pub struct Journal {
-    folder: PathBuf,
-    file: File,
-    size: usize,
-    /// What a file with nothing but the present entries would hold.
-    live: usize,
-    most: usize,
-    entries: BTreeMap<u64, Entry>,
+//! What outlives the process: webhooks taken on, the attempts made for them, final answers that are owed. It is kept
+//! in a [`Store`]; in memory a webhook takes a few dozen bytes, and its body, id and names are read when needed.
+
+mod cache;
+mod legacy;
+mod records;
+mod tries;
+
+use crate::backlog::Resumable;
+use cache::Cache;
+use records::Facts;
+pub use records::{End, Trace, Tries, Webhook, key_hash};
+use scalebarrow_store::{Files, FolderFiles, Kind, OnError, Opened, Position, Record, Replayed, Store};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use tracing::error;
+use tries::TriesTable;
+
+/// The file that names the folder's form, and its content; another number for another form.
+const FORM_FILE: &str = "journal";
+const NEW_FORM_FILE: &str = "journal.new";
+const FORM: &[u8; 8] = b"SBARROW2";
+/// What the two take up.
+const FORM_FILES: usize = 2 * 4096;
+/// The tags of values: a webhook without a final answer, and a final answer that is owed.
+const OPEN: u8 = 0;
+const OWED: u8 = 1;
+/// Room for the records that will follow that of a webhook; it counts as soon as it is taken on.
+const UPKEEP: u64 = 256;
+/// Of those that have ended, the ids of so many of the last are known again after a start.
+const MOST_ENDED: usize = 1024;
+/// Webhooks that are read are kept for a moment, in so many bytes at most.
+const CACHE: usize = 1024 * 1024;
+
+pub struct Journal<F = FolderFiles> {
+    store: Store<F>,
+    /// By the hash of the id, those without a final answer.
+    ids: BTreeSet<(u64, u64)>,
+    tries: TriesTable,
+    cache: Cache,
+    open: usize,
     next: u64,
-    /// The ids of those that had ended when it was opened, as far as the file knows them.
+    /// Found by the start: those without a final answer, and the ids of those that had ended last.
+    resumable: Vec<Resumable>,
     ended: Vec<String>,
-    /// A write failed, and half of a record may stand at the end: the file has to be written anew first.
-    in_doubt: bool,
 }
 
-fn frame(record: &Record) -> io::Result<Vec<u8>> {
-    let body = postcard::to_stdvec(record).map_err(io::Error::other)?;
-    let mut bytes = Vec::with_capacity(FRAME + body.len());
-    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-    bytes.extend_from_slice(&body);
-    Ok(bytes)
+/// What a start gathers from the records.
+#[derive(Default)]
+struct Replay {
+    facts: BTreeMap<u64, Facts>,
+    tries: TriesTable,
+    ended: VecDeque<(Kind, Position)>,
+    last: u64,
 }
 
-/// The record at the start of `bytes` and its size; nothing where it is torn.
-fn unframe(bytes: &[u8]) -> Option<(Record, usize)> {
-    let (length, rest) = bytes.split_first_chunk::<4>()?;
-    let (sum, rest) = rest.split_first_chunk::<4>()?;
-    let body = rest.get(..u32::from_le_bytes(*length) as usize)?;
-    if crc32fast::hash(body) != u32::from_le_bytes(*sum) {
-        return None;
+impl Replay {
+    fn record(&mut self, record: Replayed) {
+        let Replayed { kind, tag, number, meta, position } = record;
+        self.last = self.last.max(number);
+        match (kind, tag) {
+            (Kind::Value, OPEN) => _ = self.facts.insert(number, Facts::decode(meta)),
+            (Kind::State, _) => {
+                if let Ok(tries) = postcard::from_bytes(meta) {
+                    self.tries.set(number, &tries);
+                }
+            }
+            (Kind::Value | Kind::Removed, _) => {
+                self.facts.remove(&number);
+                self.tries.remove(number);
+                self.ended.push_back((kind, position));
+                if self.ended.len() > MOST_ENDED {
+                    self.ended.pop_front();
+                }
+            }
+            (Kind::Checkpoint, _) => {}
+        }
     }
-    Some((postcard::from_bytes(body).ok()?, FRAME + body.len()))
+}
+
+fn to_bytes(value: &impl serde::Serialize) -> io::Result<Vec<u8>> {
+    postcard::to_stdvec(value).map_err(io::Error::other)
 }
 
 impl Journal {
-    /// Opens the folder's journal, or starts one, and reads what it holds. `most` is the limit in bytes.
+    /// Opens the folder's journal, or starts one. `most` is the limit in bytes. A folder of the program before segments
+    /// is carried over. The count is of bytes of unfinished records that were dropped.
     pub fn open(folder: &Path, most: usize) -> io::Result<(Journal, usize)> {
-        let path = folder.join("journal");
-        // Left by a process that was killed while it wrote a new one: the old one still stands.
-        let _ = fs::remove_file(folder.join("journal.new"));
-        let bytes = match fs::read(&path) {
-            Ok(bytes) => bytes,
-            Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
-            Err(e) => return Err(e),
-        };
-        let mut whole = 0;
-        let mut found = Vec::new();
-        if bytes.starts_with(MARK) {
-            whole = MARK.len();
-            while let Some((record, size)) = unframe(&bytes[whole..]) {
-                found.push((record, size));
-                whole += size;
+        Self::open_files(FolderFiles::new(folder), most)
+    }
+}
+
+impl<F: Files> Journal<F> {
+    /// Opens the journal among the files, as [`Journal::open`] does.
+    pub fn open_files(mut files: F, most: usize) -> io::Result<(Self, usize)> {
+        let form = read_form(&mut files)?;
+        match form.as_ref() {
+            Some(form) if form == FORM => Self::open_store(files, most),
+            Some(form) if form == legacy::FORM => Self::carry_over(files, most),
+            Some(_) => Err(io::Error::new(io::ErrorKind::InvalidData, "holds a journal of another form")),
+            None => {
+                write_form(&mut files)?;
+                Self::open_store(files, most)
             }
-        } else if bytes.len() >= MARK.len() {
-            return Err(io::Error::new(io::ErrorKind::InvalidData, "holds a journal of another form"));
         }
-        let file = OpenOptions::new().create(true).append(true).open(&path)?;
-        file.set_len(whole as u64)?;
-        let (folder, entries) = (folder.to_owned(), BTreeMap::new());
-        let most = most.saturating_sub(BLOCKS);
-        let (live, next, in_doubt) = (MARK.len(), 1, false);
-        let ended = found.iter().filter_map(|(record, _)| match record {
-            Record::Ended(_, id, _) => Some(id.clone()),
-            _ => None,
-        });
+    }
+
+    fn open_store(files: F, most: usize) -> io::Result<(Self, usize)> {
+        let mut replay = Replay::default();
+        let (mut store, Opened { torn, .. }) =
+            Store::open(files, limit(most), |record| replay.record(record))?;
+        let Replay { facts, mut tries, ended, last } = replay;
+        tries.retain(|number| facts.contains_key(&number));
+        let ended = ended.into_iter().filter_map(|(kind, position)| ended_id(&mut store, kind, position));
         let ended = ended.collect();
-        let mut journal = Journal { folder, file, size: whole, live, most, entries, next, ended, in_doubt };
-        for (record, size) in found {
-            journal.apply(record, size);
-        }
-        if whole == 0 {
-            journal.file.write_all(MARK)?;
-            journal.size = MARK.len();
+        let ids = facts.iter().map(|(number, facts)| (facts.id, *number)).collect();
+        let open = facts.len();
+        let resumable = facts.into_iter().map(|(number, facts)| facts.resumable(number)).collect();
+        let cache = Cache::new(CACHE);
+        let next = last + 1;
+        let journal = Journal { store, ids, tries, cache, open, next, resumable, ended };
+        Ok((journal, torn as usize))
+    }
+
+    /// Writes what an older program's file holds into segments. Until that is whole the file stands; a process that is
+    /// killed before begins anew.
+    fn carry_over(mut files: F, most: usize) -> io::Result<(Self, usize)> {
+        for name in files.list()?.iter().filter(|name| name.starts_with("segment-")) {
+            files.remove(name)?;
         }
-        Ok((journal, bytes.len() - whole))
+        let old = legacy::Contents::read(&mut files, FORM_FILE)?;
+        let (mut journal, _) = Self::open_store(files, most)?;
+        // Whether they fit was judged when they were taken on.
+        journal.store.enforce_limit(false);
+        old.write(&mut journal)?;
+        let torn = old.torn;
+        let mut files = journal.store.into_files();
+        write_form(&mut files)?;
+        let (journal, _) = Self::open_store(files, most)?;
+        Ok((journal, torn))
     }
 
     /// Changes the limit in bytes.
     pub fn set_most(&mut self, most: usize) {
-        self.most = most.saturating_sub(BLOCKS);
+        self.store.set_limit(limit(most));
     }
 
-    fn weight(entry: &Entry) -> usize {
-        match entry {
-            Entry::Open { size, .. } => size + UPKEEP,
-            Entry::Owed { id, .. } => FRAME + id.len() + 32,
-        }
+    /// There is room to take on a webhook of that size and to write down all that follows from it.
+    pub fn has_room(&self, webhook: &Webhook) -> bool {
+        let promised = UPKEEP * (self.open as u64 + 1);
+        self.store.has_room(records::FACTS, webhook.size(), promised)
     }
 
-    fn put(&mut self, number: u64, entry: Entry) {
-        self.live += Self::weight(&entry);
-        if let Some(old) = self.entries.insert(number, entry) {
-            self.live -= Self::weight(&old);
-        }
+    /// A number above all that the folder knows.
+    pub fn next_number(&self) -> u64 {
+        self.next
     }
 
-    fn drop_entry(&mut self, number: u64) {
-        if let Some(old) = self.entries.remove(&number) {
-            self.live -= Self::weight(&old);
-        }
+    /// How many have no final answer.
+    pub fn open_count(&self) -> usize {
+        self.open
     }
 
-    fn apply(&mut self, record: Record, size: usize) {
-        match record {
-            Record::Taken(number, webhook, tries) => {
-                self.next = self.next.max(number + 1);
-                self.put(number, Entry::Open { webhook, tries, size });
-            }
-            Record::Out(number, trace) => {
-                if let Some(Entry::Open { tries, .. }) = self.entries.get_mut(&number) {
-                    tries.count += 1;
-                    // One attempt is out at a time. An earlier one without an outcome was out when a process ended, or
-                    // its outcome could not be written: it may have run, also when this one turns out not to have.
-                    let lost = tries.out.replace(trace);
-                    tries.ran = tries.ran.take().or(lost);
-                }
-            }
-            Record::Back(number, ran) => {
-                if let Some(Entry::Open { tries, .. }) = self.entries.get_mut(&number) {
-                    let out = tries.out.take();
-                    if ran && tries.ran.is_none() {
-                        tries.ran = out;
-                    }
-                }
-            }
-            Record::Ended(number, _, End::Over) | Record::Told(number) => self.drop_entry(number),
-            Record::Ended(number, id, end) => {
-                self.next = self.next.max(number + 1);
-                self.put(number, Entry::Owed { id, end });
-            }
-        }
+    /// Those that had no final answer when it was opened, in the order they were taken on.
+    pub fn take_resumable(&mut self) -> Vec<Resumable> {
+        std::mem::take(&mut self.resumable)
     }
 
-    /// One more record. It is in the file as a whole when this returns, or not at all. What is promised to others
-    /// counts only once it is written; what has happened counts also if it cannot be, until the file is written anew.
-    fn append(&mut self, record: Record) -> io::Result<()> {
-        let bytes = frame(&record)?;
-        let written = self.write(&bytes);
-        self.in_doubt |= written.is_err();
-        if written.is_ok() || !matches!(record, Record::Taken(..) | Record::Out(..)) {
-            self.apply(record, bytes.len());
-        }
-        written
-    }
-
-    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        if self.in_doubt || self.size + bytes.len() + self.live > self.most {
-            self.compact()?;
-        }
-        if self.size + bytes.len() > self.most {
-            return Err(io::ErrorKind::StorageFull.into());
-        }
-        self.file.write_all(bytes)?;
-        self.size += bytes.len();
-        Ok(())
+    /// The ids of those that had ended last when it was opened.
+    pub fn take_ended(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.ended)
     }
 
-    /// Writes the present entries into a new file that takes the old one's place.
-    fn compact(&mut self) -> io::Result<()> {
-        let mut bytes = MARK.to_vec();
-        for (number, entry) in &self.entries {
-            bytes.extend(frame(&match entry {
-                Entry::Open { webhook, tries, .. } => Record::Taken(*number, webhook.clone(), tries.clone()),
-                Entry::Owed { id, end } => Record::Ended(*number, id.clone(), *end),
-            })?);
-        }
-        let (new, path) = (self.folder.join("journal.new"), self.folder.join("journal"));
-        let written = fs::write(&new, &bytes).and_then(|()| fs::rename(&new, &path));
-        if let Err(e) = written {
-            let _ = fs::remove_file(&new);
-            return Err(e);
-        }
-        self.file = OpenOptions::new().append(true).open(&path)?;
-        (self.size, self.in_doubt) = (bytes.len(), false);
-        Ok(())
+    /// A step of compaction is due.
+    pub fn needs_step(&self) -> bool {
+        self.store.needs_step()
     }
 
-    /// There is room to take on a webhook of that size and to write down all that follows from it, also while
-    /// old and new file stand side by side.
-    pub fn has_room(&self, webhook: &Webhook) -> bool {
-        let text = |t: &Option<String>| t.as_ref().map_or(0, String::len);
-        let texts = webhook.id.len() + webhook.event_type.len() + text(&webhook.token);
-        let size = webhook.body.len() + texts + text(&webhook.order_key) + text(&webhook.customer);
-        2 * (self.live + size + FRAME + UPKEEP) + SPARE <= self.most
+    /// Makes one bounded step of compaction, where one is due.
+    pub fn step(&mut self) -> io::Result<()> {
+        self.store.step()
     }
 
-    /// A number above all that the file knows.
-    pub fn next_number(&self) -> u64 {
-        self.next
+    /// The number of the webhook with this id, where it has no final answer.
+    pub fn find(&mut self, id: &str) -> Option<u64> {
+        let hash = records::id_hash(id);
+        let candidates: Vec<u64> = self.ids.range((hash, 0)..=(hash, u64::MAX)).map(|c| c.1).collect();
+        candidates.into_iter().find(|number| match self.webhook(*number) {
+            Ok(Some(webhook)) => webhook.id == id,
+            // It cannot be told: better not taken on than taken on twice.
+            Err(_) => true,
+            Ok(None) => false,
+        })
     }
 
     pub fn take(&mut self, number: u64, webhook: Webhook) -> io::Result<()> {
-        self.append(Record::Taken(number, webhook, Tries::default()))
+        let facts = Facts::of(&webhook);
+        let (meta, payload) = (facts.encode(), to_bytes(&webhook)?);
+        let record = Record { kind: Kind::Value, tag: OPEN, number, meta: &meta, payload: &payload };
+        self.store.append(&record, OnError::Discard)?;
+        self.next = self.next.max(number + 1);
+        self.open += 1;
+        self.ids.insert((facts.id, number));
+        self.cache.put(number, Rc::new(webhook));
+        Ok(())
     }
 
     /// An attempt is about to be written to its connection.
     pub fn out(&mut self, number: u64, zone: &str, now: f64) -> io::Result<()> {
-        self.append(Record::Out(number, (zone.to_owned(), now)))
+        if !self.is_open(number) {
+            return Ok(());
+        }
+        let mut tries = self.tries.get(number);
+        tries.out((zone.to_owned(), now));
+        self.write_tries(number, &tries, OnError::Discard)
     }
 
     pub fn back(&mut self, number: u64, ran: bool) -> io::Result<()> {
-        let out = matches!(self.entries.get(&number), Some(Entry::Open { tries, .. }) if tries.out.is_some());
-        if out { self.append(Record::Back(number, ran)) } else { Ok(()) }
+        let mut tries = self.tries.get(number);
+        if !self.is_open(number) || !tries.back(ran) {
+            return Ok(());
+        }
+        self.write_tries(number, &tries, OnError::Defer)
+    }
+
+    fn write_tries(&mut self, number: u64, tries: &Tries, on_error: OnError) -> io::Result<()> {
+        let meta = to_bytes(tries)?;
+        let record = Record { kind: Kind::State, tag: OPEN, number, meta: &meta, payload: &[] };
+        let written = self.store.append(&record, on_error);
+        if written.is_ok() || on_error == OnError::Defer {
+            self.tries.set(number, tries);
+        }
+        written
     }
 
     pub fn end(&mut self, number: u64, end: End) -> io::Result<()> {
-        let Some(Entry::Open { webhook, .. }) = self.entries.get(&number) else { return Ok(()) };
-        let id = webhook.id.clone();
-        self.append(Record::Ended(number, id, end))
+        if !self.is_open(number) {
+            return Ok(());
+        }
+        let id = self.open_webhook(number).map(|webhook| webhook.id.clone());
+        self.forget(number, id.as_deref());
+        match (end, id) {
+            (End::Over, id) => self.remove(number, id.unwrap_or_default().as_bytes()),
+            (_, Some(id)) => self.write_owed(number, &id, end),
+            // Without its id nobody can be told.
+            (_, None) => self.remove(number, &[]),
+        }
+    }
+
+    fn write_owed(&mut self, number: u64, id: &str, end: End) -> io::Result<()> {
+        let payload = to_bytes(&(id, end))?;
+        let record = Record { kind: Kind::Value, tag: OWED, number, meta: &[], payload: &payload };
+        self.store.append(&record, OnError::Defer)
     }
 
     /// It is as if it had never been handed in.
     pub fn withdraw(&mut self, number: u64) -> io::Result<()> {
-        self.told(number)
+        if !self.is_open(number) {
+            return Ok(());
+        }
+        let id = self.open_webhook(number).map(|webhook| webhook.id.clone());
+        self.forget(number, id.as_deref());
+        self.remove(number, &[])
     }
 
-    /// The ids of those that had ended when it was opened.
-    pub fn take_ended(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.ended)
+    /// The notice of a final answer was acknowledged.
+    pub fn told(&mut self, number: u64) -> io::Result<()> {
+        if self.store.tag(number) == Some(OWED) { self.remove(number, &[]) } else { Ok(()) }
     }
 
-    pub fn told(&mut self, number: u64) -> io::Result<()> {
-        if self.entries.contains_key(&number) { self.append(Record::Told(number)) } else { Ok(()) }
+    /// The payload is the id that is to be known again after a start, if any.
+    fn remove(&mut self, number: u64, payload: &[u8]) -> io::Result<()> {
+        let record = Record { kind: Kind::Removed, tag: 0, number, meta: &[], payload };
+        self.store.append(&record, OnError::Defer)
     }
 
-    /// A webhook that has no final answer yet.
-    pub fn open_webhook(&self, number: u64) -> Option<&Webhook> {
-        match self.entries.get(&number) {
-            Some(Entry::Open { webhook, .. }) => Some(webhook),
-            _ => None,
+    /// It is not open any more.
+    fn forget(&mut self, number: u64, id: Option<&str>) {
+        self.open -= 1;
+        self.tries.remove(number);
+        self.cache.remove(number);
+        match id {
+            Some(id) => _ = self.ids.remove(&(records::id_hash(id), number)),
+            None => self.ids.retain(|entry| entry.1 != number),
         }
     }
 
-    /// What is known of the attempts for a webhook that has no final answer yet.
-    pub fn tries(&self, number: u64) -> Option<&Tries> {
-        match self.entries.get(&number) {
-            Some(Entry::Open { tries, .. }) => Some(tries),
-            _ => None,
-        }
+    /// It has no final answer yet.
+    pub fn is_open(&self, number: u64) -> bool {
+        self.store.tag(number) == Some(OPEN)
     }
 
-    /// All that have no final answer, in the order they were taken on.
-    pub fn open_webhooks(&self) -> impl Iterator<Item = (u64, &Webhook, &Tries)> {
-        self.entries.iter().filter_map(|(number, entry)| match entry {
-            Entry::Open { webhook, tries, .. } => Some((*number, webhook, tries)),
-            Entry::Owed { .. } => None,
+    /// A webhook that has no final answer yet. One that cannot be read is told in the log.
+    pub fn open_webhook(&mut self, number: u64) -> Option<Rc<Webhook>> {
+        self.webhook(number).unwrap_or_else(|error| {
+            error!(code = "journal-read", number, %error, "a webhook cannot be read");
+            None
         })
     }
 
+    /// The same, with the error: `InvalidData` where it will never be readable.
+    pub fn webhook(&mut self, number: u64) -> io::Result<Option<Rc<Webhook>>> {
+        if !self.is_open(number) {
+            return Ok(None);
+        }
+        if let Some(webhook) = self.cache.get(number) {
+            return Ok(Some(webhook));
+        }
+        let Some(payload) = self.store.read_value(number)? else { return Ok(None) };
+        let invalid = |e| io::Error::new(io::ErrorKind::InvalidData, e);
+        let webhook: Rc<Webhook> = Rc::new(postcard::from_bytes(&payload).map_err(invalid)?);
+        self.cache.put(number, webhook.clone());
+        Ok(Some(webhook))
+    }
+
+    /// What is known of the attempts for a webhook that has no final answer yet.
+    pub fn tries(&self, number: u64) -> Tries {
+        self.tries.get(number)
+    }
+
     /// The final answer that the platform has not acknowledged, with the webhook's id.
-    pub fn owed(&self, number: u64) -> Option<(&str, End)> {
-        match self.entries.get(&number) {
-            Some(Entry::Owed { id, end }) => Some((id, *end)),
-            _ => None,
+    pub fn owed(&mut self, number: u64) -> Option<(String, End)> {
+        if self.store.tag(number) != Some(OWED) {
+            return None;
         }
+        let payload = match self.store.read_value(number) {
+            Ok(payload) => payload?,
+            Err(error) => {
+                error!(code = "journal-read", number, %error, "a final answer cannot be read");
+                return None;
+            }
+        };
+        postcard::from_bytes(&payload).ok()
     }
 
     pub fn all_owed(&self) -> Vec<u64> {
-        let owed = self.entries.iter().filter(|(_, e)| matches!(e, Entry::Owed { .. }));
-        owed.map(|(number, _)| *number).collect()
+        self.store.numbers().filter(|(_, tag)| *tag == OWED).map(|(number, _)| number).collect()
     }
 }
 
+/// What the segments may take up.
+fn limit(most: usize) -> u64 {
+    most.saturating_sub(FORM_FILES) as u64
+}
+
+/// The first bytes of the file that names the form; nothing where there is none, or an old program was killed while it
+/// made it.
+fn read_form<F: Files>(files: &mut F) -> io::Result<Option<[u8; 8]>> {
+    let mut form = [0; 8];
+    match files.read_at(FORM_FILE, 0, &mut form) {
+        Ok(()) => Ok(Some(form)),
+        Err(e) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::UnexpectedEof) => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
+fn write_form<F: Files>(files: &mut F) -> io::Result<()> {
+    files.create(NEW_FORM_FILE)?;
+    files.append(NEW_FORM_FILE, FORM)?;
+    files.rename(NEW_FORM_FILE, FORM_FILE)
+}
+
+/// The id that the record of an end holds; nothing where none is to be known.
+fn ended_id<F: Files>(store: &mut Store<F>, kind: Kind, position: Position) -> Option<String> {
+    let payload = store.read(position).ok()?;
+    let id = match kind {
+        Kind::Value => postcard::from_bytes::<(String, End)>(&payload).ok()?.0,
+        _ => String::from_utf8(payload).ok()?,
+    };
+    (!id.is_empty()).then_some(id)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/sender/src/journal/tests.rs
+++ b/crates/sender/src/journal/tests.rs
@@ -1,13 +1,10 @@
+use super::legacy::LegacyRecord;
 use super::*;
+use scalebarrow_store::{Fault, FaultyFiles, MemoryFiles};
 
 const MOST: usize = 200_000;
 
-fn folder(name: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("scalebarrow-{name}-{}", std::process::id()));
-    let _ = fs::remove_dir_all(&path);
-    fs::create_dir_all(&path).unwrap();
-    path
-}
+type MemoryJournal = Journal<MemoryFiles>;
 
 fn webhook(id: &str, size: usize) -> Webhook {
     let (id, event_type) = (id.to_owned(), "e".to_owned());
@@ -15,16 +12,30 @@
     Webhook { id, event_type, dest: 7, order_key, customer, token, ends_at: 9.5, body: vec![b'x'; size] }
 }
 
+fn open(files: &MemoryFiles) -> MemoryJournal {
+    Journal::open_files(files.clone(), MOST).unwrap().0
+}
+
+fn open_numbers<F: Files>(journal: &Journal<F>) -> Vec<u64> {
+    journal.store.numbers().filter(|(_, tag)| *tag == OPEN).map(|(number, _)| number).collect()
+}
+
 /// What a journal holds, as text.
-fn state(journal: &Journal) -> Vec<String> {
-    let open = journal
-        .open_webhooks()
-        .map(|(n, w, t)| format!("{n} {} {} tries, out {:?}, ran {:?}", w.id, t.count, t.out, t.ran));
-    let owed = journal.all_owed().into_iter().map(|n| format!("{n} owed {:?}", journal.owed(n).unwrap()));
-    open.chain(owed).collect()
+fn state<F: Files>(journal: &mut Journal<F>) -> Vec<String> {
+    let mut lines = Vec::new();
+    for n in open_numbers(journal) {
+        let (id, t) = (journal.webhook(n).unwrap().unwrap().id.clone(), journal.tries(n));
+        lines.push(format!("{n} {id} {} tries, out {:?}, ran {:?}", t.count, t.out, t.ran));
+        assert_eq!(journal.find(&id), Some(n));
+    }
+    assert_eq!((lines.len(), journal.ids.len()), (journal.open_count(), journal.open_count()));
+    for n in journal.all_owed() {
+        lines.push(format!("{n} owed {:?}", journal.owed(n).unwrap()));
+    }
+    lines
 }
 
-fn fill(journal: &mut Journal) {
+fn fill<F: Files>(journal: &mut Journal<F>) {
     for (number, id) in [(1, "a"), (2, "b"), (3, "c"), (4, "d"), (5, "e")] {
         journal.take(number, webhook(id, 100)).unwrap();
     }
@@ -45,80 +56,121 @@
     r#"3 owed ("c", Rejected(0.5))"#,
 ];
 
+/// Enough comes and goes that all which stays was copied to other segments.
+fn churn<F: Files>(journal: &mut Journal<F>) {
+    let first = journal.next_number();
+    for number in first..first + 1000 {
+        journal.take(number, webhook(&format!("churn-{number}"), 500)).unwrap();
+        journal.end(number, End::Over).unwrap();
+        journal.step().unwrap();
+    }
+}
+
 #[test]
-fn what_was_written_is_there_again_also_after_it_was_written_anew() {
-    let folder = folder("replay");
-    let (mut journal, _) = Journal::open(&folder, MOST).unwrap();
+fn what_was_written_is_there_again_also_after_it_was_compacted() {
+    let files = MemoryFiles::default();
+    let mut journal = open(&files);
     fill(&mut journal);
-    assert_eq!(state(&journal), FILLED);
-    let (mut journal, dropped) = Journal::open(&folder, MOST).unwrap();
-    assert_eq!((state(&journal), dropped, journal.next_number()), (FILLED.map(String::from).to_vec(), 0, 6));
-    journal.compact().unwrap();
-    fs::write(folder.join("journal.new"), b"left over").unwrap();
-    let (journal, _) = Journal::open(&folder, MOST).unwrap();
-    assert_eq!(state(&journal), FILLED);
-    assert_eq!(journal.open_webhook(2), Some(&webhook("b", 100)));
-    assert!(!folder.join("journal.new").exists());
+    assert_eq!(state(&mut journal), FILLED);
+    let (mut journal, dropped) = Journal::open_files(files.clone(), MOST).unwrap();
+    assert_eq!((state(&mut journal), dropped), (FILLED.map(String::from).to_vec(), 0));
+    assert_eq!((journal.next_number(), journal.open_count()), (6, 2));
+    assert_eq!(journal.take_ended(), ["c", "d", "e"]);
+    churn(&mut journal);
+    assert!(files.length("segment-0000000001").is_err());
+    let mut journal = open(&files);
+    assert_eq!(state(&mut journal), FILLED);
+    assert_eq!(*journal.open_webhook(2).unwrap(), webhook("b", 100));
+    let resumable = [1, 2].map(|number| Resumable { number, ends_at: 9.5, key: None });
+    assert_eq!(journal.take_resumable(), resumable);
+    assert_eq!(journal.take_ended().last().unwrap(), "churn-1005");
 }
 
 #[test]
 fn an_attempt_that_was_out_when_the_process_ended_may_have_run_whatever_follows() {
-    let folder = folder("twice-killed");
-    let (mut journal, _) = Journal::open(&folder, MOST).unwrap();
+    let files = MemoryFiles::default();
+    let mut journal = open(&files);
     for (number, id) in [(1, "a"), (2, "b")] {
         journal.take(number, webhook(id, 100)).unwrap();
     }
     journal.out(1, "z", 1.5).unwrap();
     journal.out(2, "z", 1.5).unwrap();
     // Killed; one goes out again and is turned away, the other again and again without an outcome.
-    let (mut journal, _) = Journal::open(&folder, MOST).unwrap();
+    let mut journal = open(&files);
     journal.out(1, "z", 2.5).unwrap();
     journal.back(1, false).unwrap();
     journal.out(2, "y", 2.5).unwrap();
-    let (mut journal, _) = Journal::open(&folder, MOST).unwrap();
+    let mut journal = open(&files);
     journal.out(2, "x", 3.5).unwrap();
     journal.back(2, true).unwrap();
     let after =
         [r#"1 a 2 tries, out None, ran Some(("z", 1.5))"#, r#"2 b 3 tries, out None, ran Some(("z", 1.5))"#];
-    assert_eq!(state(&journal), after);
-    journal.compact().unwrap();
-    assert_eq!(state(&Journal::open(&folder, MOST).unwrap().0), after);
+    assert_eq!(state(&mut journal), after);
+    churn(&mut journal);
+    assert_eq!(state(&mut open(&files)), after);
 }
 
 #[test]
 fn a_torn_tail_is_dropped_wherever_it_is_cut() {
-    let folder = folder("torn");
-    let (mut journal, _) = Journal::open(&folder, MOST).unwrap();
+    let files = MemoryFiles::default();
+    let segment = "segment-0000000001";
+    let mut journal = open(&files);
     journal.take(1, webhook("a", 30)).unwrap();
-    let whole = journal.size;
+    let whole = files.length(segment).unwrap();
     journal.take(2, webhook("b", 30)).unwrap();
-    let bytes = fs::read(folder.join("journal")).unwrap();
-    for cut in whole..bytes.len() {
-        fs::write(folder.join("journal"), &bytes[..cut]).unwrap();
-        let (mut journal, dropped) = Journal::open(&folder, MOST).unwrap();
-        assert_eq!((state(&journal).len(), dropped), (1, cut - whole), "cut at {cut}");
+    let end = files.length(segment).unwrap();
+    for cut in whole..end {
+        let mut torn = files.copied();
+        torn.truncate(segment, cut).unwrap();
+        let (mut journal, dropped) = Journal::open_files(torn.clone(), MOST).unwrap();
+        assert_eq!((state(&mut journal).len(), dropped as u64), (1, cut - whole), "cut at {cut}");
         // What follows stands behind whole records only.
         journal.take(3, webhook("c", 30)).unwrap();
-        assert_eq!(state(&Journal::open(&folder, MOST).unwrap().0).len(), 2, "cut at {cut}");
+        assert_eq!(state(&mut open(&torn)).len(), 2, "cut at {cut}");
     }
     // A changed byte is found by the checksum.
+    let mut bytes = vec![0; end as usize];
+    files.clone().read_at(segment, 0, &mut bytes).unwrap();
     for at in [whole + 1, whole + 5, whole + 20] {
-        let mut bad = bytes.clone();
-        bad[at] ^= 0x40;
-        fs::write(folder.join("journal"), &bad).unwrap();
-        assert_eq!(state(&Journal::open(&folder, MOST).unwrap().0).len(), 1, "changed at {at}");
+        let (mut bad, mut changed) = (bytes.clone(), files.copied());
+        bad[at as usize] ^= 0x40;
+        changed.create(segment).unwrap();
+        changed.append(segment, &bad).unwrap();
+        assert_eq!(state(&mut open(&changed)).len(), 1, "changed at {at}");
+    }
+}
+
+#[test]
+fn a_folder_of_another_form_is_refused_and_left_alone() {
+    for (content, error) in [
+        (&b"something else"[..], Some("holds a journal of another form")),
+        (b"SBARROW3", Some("holds a journal of another form")),
+        (b"SBARROW2", None),
+        // An older program was killed while it began.
+        (b"SBA", None),
+        (b"", None),
+    ] {
+        let mut files = MemoryFiles::default();
+        files.create("journal").unwrap();
+        files.append("journal", content).unwrap();
+        let opened = Journal::open_files(files.clone(), MOST);
+        assert_eq!(opened.map(drop).map_err(|e| e.to_string()).err().as_deref(), error, "{content:?}");
+        if error.is_some() {
+            assert_eq!(files.total(), content.len() as u64);
+        }
     }
-    // Cut within the mark it starts anew; of another form it is left alone.
-    fs::write(folder.join("journal"), &bytes[..3]).unwrap();
-    assert!(state(&Journal::open(&folder, MOST).unwrap().0).is_empty());
-    fs::write(folder.join("journal"), b"something else").unwrap();
-    assert!(Journal::open(&folder, MOST).is_err());
+    // What an older program reads: not its own form, so that it does not take the folder for an empty one.
+    let files = MemoryFiles::default();
+    drop(open(&files));
+    let mut form = [0; 8];
+    files.clone().read_at("journal", 0, &mut form).unwrap();
+    assert_eq!((&form, files.length("journal").unwrap()), (b"SBARROW2", 8));
 }
 
 #[test]
-fn old_and_new_file_together_stay_within_the_limit() {
-    let folder = folder("limit");
-    let (mut journal, _) = Journal::open(&folder, MOST).unwrap();
+fn all_segments_together_stay_within_the_limit() {
+    let files = MemoryFiles::default();
+    let mut journal = open(&files);
     let (mut taken, mut highest) = (0, 0);
     for number in 1..=3000 {
         let w = webhook(&number.to_string(), 4000);
@@ -126,39 +178,186 @@
             journal.take(number, w).unwrap();
             taken += 1;
         }
-        highest = highest.max(journal.size + journal.live);
+        highest = highest.max(files.total());
         // Of all that are held, each is tried again and again and a few end.
-        let open: Vec<u64> = journal.open_webhooks().map(|o| o.0).collect();
+        let open = open_numbers(&journal);
         for open in open.iter().copied() {
             journal.out(open, "zone", 1.0).unwrap();
             journal.back(open, open % 2 == 0).unwrap();
+            highest = highest.max(files.total());
         }
         for first in open.first().iter().filter(|_| number % 3 == 0) {
             journal.end(**first, End::DeadLettered).unwrap();
             journal.told(**first).unwrap();
         }
+        journal.step().unwrap();
+        highest = highest.max(files.total());
+    }
+    assert!(taken > 900 && highest <= MOST as u64, "{taken} taken, {highest} bytes");
+    assert_eq!(state(&mut open(&files)), state(&mut journal));
+}
+
+#[test]
+fn a_small_folder_holds_as_many_as_the_single_file_did() {
+    for (most, size) in [(3_000_000, 0), (3_000_000, 212), (3_000_000, 64 * 1024), (250_000, 212)] {
+        // What it weighed there: its record twice, and room for what follows.
+        let mut record = Vec::new();
+        legacy_frame(
+            &mut record,
+            &LegacyRecord::Taken(1000, webhook("0123456789abcdef", size), Tries::default()),
+        );
+        let before = (most - 4 * 512 - 64 * 1024) / (2 * (record.len() + 8 + 256));
+        let mut journal = Journal::open_files(MemoryFiles::default(), most).unwrap().0;
+        let mut held = 0;
+        while journal.has_room(&webhook("0123456789abcdef", size)) {
+            held += 1;
+            journal.take(held, webhook(&format!("{held:016}"), size)).unwrap();
+        }
+        assert!(held as usize >= before, "{held} of {size} bytes in {most}, {before} before");
     }
-    assert!(taken > 900 && highest <= MOST, "{taken} taken, {highest} bytes");
-    let (read, _) = Journal::open(&folder, MOST).unwrap();
-    assert_eq!(state(&read), state(&journal));
+}
+
+#[test]
+fn what_is_held_can_be_ended_in_a_full_folder() {
+    let files = MemoryFiles::default();
+    let mut journal = open(&files);
+    let mut held = 0;
+    while journal.has_room(&webhook(&format!("{held:064}"), 10)) {
+        held += 1;
+        journal.take(held, webhook(&format!("{held:064}"), 10)).unwrap();
+    }
+    for round in 0..5 {
+        for number in 1..=held {
+            journal.out(number, "a-zone-with-a-name", f64::from(round)).unwrap();
+            journal.back(number, true).unwrap();
+        }
+    }
+    for number in 1..=held {
+        journal.end(number, End::Rejected(1.5)).unwrap();
+        assert!(files.total() <= MOST as u64);
+    }
+    assert_eq!(open(&files).all_owed().len() as u64, held);
+    for number in 1..=held {
+        journal.told(number).unwrap();
+        assert!(files.total() <= MOST as u64);
+    }
+    assert!(state(&mut open(&files)).is_empty());
 }
 
 #[test]
 fn a_write_that_fails_leaves_no_half_record() {
-    let folder = folder("fails");
-    let (mut journal, _) = Journal::open(&folder, MOST).unwrap();
+    // The third operation that appends, and some after it, meet a full disk; half of each append is written.
+    let disk = MemoryFiles::default();
+    let count = {
+        let files = FaultyFiles::new(disk.copied(), None);
+        let count = files.operations();
+        Journal::open_files(files, MOST).unwrap().0.take(1, webhook("a", 10)).unwrap();
+        count.get()
+    };
+    // An append that fails is followed by a cut.
+    let full = Fault::Full { from: count, operations: 4, leaves: 50 };
+    let files = FaultyFiles::new(disk.clone(), Some(full));
+    let mut journal = Journal::open_files(files, MOST).unwrap().0;
     journal.take(1, webhook("a", 10)).unwrap();
-    // A file that cannot be written stands for a folder that is full.
-    let sound = std::mem::replace(&mut journal.file, File::open(folder.join("journal")).unwrap());
     assert!(journal.take(2, webhook("b", 10)).is_err());
-    assert_eq!(state(&journal).len(), 1);
+    assert_eq!(state(&mut journal).len(), 1);
+    assert_eq!(journal.find("b"), None);
     // What has happened counts all the same.
-    journal.in_doubt = false;
     assert!(journal.end(1, End::DeadLettered).is_err());
-    assert_eq!(journal.owed(1), Some(("a", End::DeadLettered)));
-    // In doubt, it is written anew before anything more goes in.
+    assert_eq!(journal.owed(1), Some(("a".into(), End::DeadLettered)));
+    assert_eq!(state(&mut open(&disk.copied())).len(), 1);
+    // It is written before anything more goes in.
     journal.take(3, webhook("c", 10)).unwrap();
-    drop(sound);
-    assert_eq!(state(&Journal::open(&folder, MOST).unwrap().0), state(&journal));
-    assert_eq!(state(&journal).len(), 2);
+    assert_eq!(state(&mut journal).len(), 2);
+    assert_eq!(state(&mut open(&disk)), state(&mut journal));
+}
+
+#[test]
+fn ids_with_one_hash_are_told_apart() {
+    let files = MemoryFiles::default();
+    let mut journal = open(&files);
+    journal.take(1, webhook("a", 10)).unwrap();
+    journal.take(2, webhook("b", 10)).unwrap();
+    // As if their hashes were the same.
+    let hash = |id| records::id_hash(id);
+    journal.ids = BTreeSet::from([(hash("a"), 1), (hash("a"), 2), (hash("c"), 1), (hash("c"), 2)]);
+    journal.cache = Cache::new(0);
+    assert_eq!([journal.find("a"), journal.find("c")], [Some(1), None]);
+}
+
+fn legacy_frame(out: &mut Vec<u8>, record: &LegacyRecord) {
+    let body = postcard::to_stdvec(record).unwrap();
+    out.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    out.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    out.extend_from_slice(&body);
+}
+
+/// The file of an older program that did what [`fill`] does.
+fn legacy_file() -> Vec<u8> {
+    let mut bytes = legacy::FORM.to_vec();
+    let trace = |zone: &str, at| (zone.to_owned(), at);
+    for (number, id) in [(1, "a"), (2, "b"), (3, "c"), (4, "d"), (5, "e")] {
+        legacy_frame(&mut bytes, &LegacyRecord::Taken(number, webhook(id, 100), Tries::default()));
+    }
+    for record in [
+        LegacyRecord::Out(1, trace("z", 1.5)),
+        LegacyRecord::Back(1, true),
+        LegacyRecord::Out(1, trace("y", 2.5)),
+        LegacyRecord::Out(2, trace("z", 3.5)),
+        LegacyRecord::Back(2, false),
+        LegacyRecord::Ended(3, "c".into(), End::Rejected(0.5)),
+        LegacyRecord::Ended(4, "d".into(), End::DeadLettered),
+        LegacyRecord::Told(4),
+        LegacyRecord::Ended(5, "e".into(), End::Over),
+    ] {
+        legacy_frame(&mut bytes, &record);
+    }
+    bytes
+}
+
+#[test]
+fn a_folder_of_an_older_program_is_carried_over_whenever_it_is_killed() {
+    let before = MemoryFiles::default();
+    let mut files = before.clone();
+    files.create("journal").unwrap();
+    files.append("journal", &legacy_file()).unwrap();
+    files.append("journal", b"torn").unwrap();
+    let whole = FaultyFiles::new(before.copied(), None);
+    let count = whole.operations();
+    let (mut journal, dropped) = Journal::open_files(whole, MOST).unwrap();
+    assert_eq!((state(&mut journal), dropped), (FILLED.map(String::from).to_vec(), 4));
+    let operations = count.get();
+    for at in 0..operations {
+        for fault in [Fault::KillBefore(at), Fault::KillWithin(at, 0), Fault::KillWithin(at, 60)] {
+            let disk = before.copied();
+            assert!(Journal::open_files(FaultyFiles::new(disk.clone(), Some(fault)), MOST).is_err());
+            let mut journal = open(&disk);
+            assert_eq!(state(&mut journal), FILLED, "{fault:?}");
+            assert_eq!(journal.take_ended(), ["c", "d", "e", "c"], "{fault:?}");
+            assert_eq!(*journal.open_webhook(2).unwrap(), webhook("b", 100));
+            assert_eq!(journal.next_number(), 4);
+            // It is carried over once.
+            assert_eq!(state(&mut open(&disk)), FILLED, "{fault:?}");
+        }
+    }
+}
+
+#[test]
+fn a_larger_folder_of_an_older_program_is_carried_over_within_its_limit() {
+    let disk = MemoryFiles::default();
+    let mut bytes = legacy::FORM.to_vec();
+    for number in 1..=3000 {
+        let id = format!("{number:016}");
+        legacy_frame(&mut bytes, &LegacyRecord::Taken(number, webhook(&id, 212), Tries::default()));
+    }
+    let mut files = disk.clone();
+    files.create("journal").unwrap();
+    files.append("journal", &bytes).unwrap();
+    let mut journal = Journal::open_files(disk.clone(), 3_000_000).unwrap().0;
+    assert!(disk.total() <= 3_000_000);
+    assert_eq!(open_numbers(&journal).len(), 3000);
+    for number in 1..=3000 {
+        journal.end(number, End::DeadLettered).unwrap();
+        assert!(disk.total() <= 3_000_000);
+    }
 }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`clients`]) and the framing of messages ([`http`]). The [`journal`] keeps what outlives the process, [`config`]
 //! reads what the platform hands over, and the [`driver`] joins all of it with sockets, timers and signals.
 
+pub mod backlog;
 pub mod bridge;
 pub mod clients;
 pub mod config;
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -62,7 +62,7 @@
     }
 
     /// The next call. `end` tells the id and the final answer of a webhook.
-    pub fn call<'a>(&mut self, host: &SocketAddr, end: impl Fn(u64) -> Option<(&'a str, End)>) -> Vec<u8> {
+    pub fn call(&mut self, host: &SocketAddr, mut end: impl FnMut(u64) -> Option<(String, End)>) -> Vec<u8> {
         let most = if self.singly { 1 } else { MOST_LINES };
         let mut body = Vec::new();
         while self.out.len() < most
@@ -74,7 +74,7 @@
                 _ => ("failed", None),
             };
             // Writing to memory does not fail.
-            let _ = serde_json::to_writer(&mut body, &Line { id, state, after_ms });
+            let _ = serde_json::to_writer(&mut body, &Line { id: &id, state, after_ms });
             body.push(b'\n');
             self.out.push(number);
         }
--- a/crates/sender/tests/program/main.rs
+++ b/crates/sender/tests/program/main.rs
@@ -1,5 +1,6 @@
 //! Starts the program and speaks to it over sockets.
 
+mod backlog;
 mod crossings;
 mod descriptors;
 mod helpers;
