--- a/crates/scale/tests/program.rs
+++ b/crates/scale/tests/program.rs
@@ -4,6 +4,7 @@
 use std::process::{Command, Output};
 
 const TENTH: &str = include_str!("../../../experiments/scale/tenth.toml");
+const FLEET: &str = include_str!("../../../experiments/scale/fleet.toml");
 
 fn run(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_scalebarrow-scale")).args(args).output().unwrap()
@@ -49,6 +50,8 @@
 fn days_are_checked_with_field_and_line() {
     let day = Day::decode(TENTH).unwrap();
     assert_eq!((day.senders, day.hollow, day.outage.does.len()), (20, 0, 4));
+    let fleet = Day::decode(FLEET).unwrap();
+    assert_eq!((fleet.senders, fleet.hollow), (40, 520));
     for (from, to, line, named) in [
         ("seconds = 60.0", "seconds = 0.0", 5, "seconds: must be above 0"),
         ("senders = 20", "senders = 41", 7, "senders: must be 1 to 40"),
