--- a/crates/scale/src/slopes.rs
+++ b/crates/scale/src/slopes.rs
@@ -11,9 +11,9 @@
 pub enum Kind {
     /// Processes of the built program on sockets.
     Real,
-    /// The program's parts in a process of the run's own, on sockets.
+    /// The program's parts in a process of the run's own, on sockets, or its decision module in the emulator.
     Emulated,
-    /// Simulated time, without sockets.
+    /// The bench's simulator, in simulated time.
     Simulated,
 }
 
