--- a/src/logic.rs
+++ b/src/logic.rs
@@ -511,18 +511,18 @@
         median(told.map(|l| l.1)).unwrap_or(if r.rate > 0.0 { r.rate } else { self.usual })
     }
 
-    /// Calls a second that all senders may make together at a scope back from an outage, where `wanting` of them want it.
+    /// Calls a second that all senders may make together at a scope back from an outage, if `wanting` want it.
     fn cold_rate(&self, r: &Route, m: Option<&Meter>, wanting: f64) -> f64 {
         let part = self.cold.part(r.back.map_or(0.0, |back| self.now - back));
         // A limit that was cut does not make the destination weaker: what is listed counts.
         let sure = self.rate(r, m).max(r.rate);
         // A call a second where no rate is known: that must not shut a route for good.
         let budget = if sure > 0.0 { sure } else { 1.0 } * part * self.cold.multiple * self.cold.span;
-        // What pushes it over; a third of that is left to senders that did not see the outage, where there are any.
+        // What pushes it over; a third of that is left to senders that may not have seen the outage.
         let most = (budget + 2.0 * budget.sqrt() + 2.0) * (wanting / self.senders).max(2.0 / 3.0);
-        // Calls that come independently of each other stay within two deviations of their mean, those of a few
-        // senders within one call of each.
-        let mean = (((4.0 + 4.0 * most).sqrt() - 2.0) / 2.0).powi(2);
+        // Calls that come independently stay within a deviation of their mean, as fewer want it than are counted;
+        // those of a few senders stay within one call of each.
+        let mean = (((1.0 + 4.0 * most).sqrt() - 1.0) / 2.0).powi(2);
         mean.max(most - wanting).min(budget) / self.cold.span
     }
 
@@ -907,7 +907,7 @@
     }
 
     fn gated(&self, ep: &Name, r: &Route) -> bool {
-        // Until one back from an outage has answered a call, each takes one webhook: a full call is as much work as three.
+        // Until one back from an outage has answered, a call takes one webhook: a full one is as much work as three.
         let well_at = self.meters.get(&Self::scope(ep, r)).and_then(|m| m.well_at);
         let unknown = r.outage && well_at.is_none_or(|at| at < r.back.unwrap_or(f64::INFINITY));
         let room = |c: &Call| c.at == self.now && !c.trial && !unknown && c.webhooks.len() < r.batch;
