--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -395,7 +395,8 @@
             );
             self.sender.told_wait(now, &call.ep, answer.wait, &mut self.asked);
         }
-        for ((number, _), ending) in call.webhooks.iter().zip(endings) {
+        for ((number, id), ending) in call.webhooks.iter().zip(endings) {
+            let before = self.journal.tries(*number);
             let may_run = matches!(
                 ending.outcome,
                 Outcome::Failed | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled
@@ -409,14 +410,61 @@
             }
             let over = !self.journal.is_open(*number);
             let took = now - call.decided_at;
-            let (ep, outcome) = (&call.ep, ending.outcome);
-            debug!(code = "back", number, ep, ?outcome, took, over, ?report, "an attempt is back");
+            let (ep, outcome, written) = (&call.ep, ending.outcome, call.written);
+            debug!(
+                code = "back",
+                id,
+                number,
+                ep,
+                ?outcome,
+                written,
+                took,
+                over,
+                ?report,
+                "an attempt is back"
+            );
+            self.log_if_may_have_run(now, *number, id, call, outcome, &before);
             let out = &mut self.asked;
             self.sender.outcome(now, *number, &call.ep, ending.outcome, took, over, report, out);
             self.settle();
         }
     }
 
+    /// Logs what an outcome changed in the record of attempts of a webhook that may have run before.
+    fn log_if_may_have_run(
+        &self, now: f64, number: u64, id: &str, call: &Call, outcome: Outcome, before: &Tries,
+    ) {
+        if before.ran.is_none() && before.out.is_none() {
+            return;
+        }
+        let after = self.journal.tries(number);
+        let (ep, written, open) = (&call.ep, call.written, self.journal.is_open(number));
+        let (may_have_run_before, may_have_run_after) = (told(before, now), told(&after, now));
+        if written {
+            debug!(
+                code = "attempts",
+                id,
+                ep,
+                ?outcome,
+                open,
+                may_have_run_before,
+                may_have_run_after,
+                "what is known of it"
+            );
+        } else {
+            info!(
+                code = "not-written",
+                id,
+                ep,
+                ?outcome,
+                open,
+                may_have_run_before,
+                may_have_run_after,
+                "an attempt was not written; an earlier one may have run"
+            );
+        }
+    }
+
     /// The calls that the inputs of one turn led to: what goes to one endpoint travels together, as far as
     /// its kind allows. The second list holds those that cannot be made.
     pub fn calls(&mut self, now: f64) -> (Vec<Call>, Vec<Call>) {
@@ -446,6 +494,8 @@
             let loads = webhooks.iter().map(|w| Load { id: &w.id, token: w.token.as_deref(), body: &w.body });
             let loads: Vec<Load> = loads.collect();
             let host = self.places.get(&call.ep).map(|p| p.dial.to_string()).unwrap_or_default();
+            let (ep, stop_in) = (&call.ep, call.stop_at - now);
+            debug!(code = "decided", ids = ?call.webhooks, ep, stop_in, "an attempt is to be made");
             match endpoints::encode(&loads, &host, call.stop_at - now) {
                 Some(bytes) => calls.push(Call { bytes, ..call }),
                 None if call.webhooks.len() > 1 => {
--- a/crates/sender/tests/program/crossings/restarts.rs
+++ b/crates/sender/tests/program/crossings/restarts.rs
@@ -1,8 +1,10 @@
 //! Restarts, and notices that are owed.
 
 use super::ms;
-use crate::helpers::{Deed, Endpoint, Ledger, NO_CONTENT, OK, Platform, Program, address, host, list};
-use std::time::Instant;
+use crate::helpers::{
+    Deed, Endpoint, Ledger, Manual, NO_CONTENT, OK, Platform, Program, address, hear, host, list,
+};
+use std::time::{Duration, Instant};
 
 #[test]
 fn an_id_that_comes_again_after_a_restart_leaves_its_webhook_as_it_is() {
@@ -85,3 +87,33 @@
     assert_eq!(ids.len(), 20);
     assert!(endpoint.calls.recv_timeout(ms(300)).is_err() && platform.notices.try_recv().is_err());
 }
+
+/// Guards against a repeat outside its group: an attempt that was out at a kill was forgotten when a later process
+/// failed to connect for the same webhook, and the process after that took it for one that had never run.
+#[test]
+fn a_failed_connect_after_a_kill_does_not_erase_the_attempt_that_may_have_run() {
+    let in_zone = |name: &str, at, zone: &str| {
+        host(name, at, "plain", "SERVING").replace(r#""site":"z""#, &format!(r#""site":"{zone}""#))
+    };
+    let addresses = [address(), address()];
+    let known = list(1, true, &[in_zone("a", addresses[0], "north"), in_zone("b", addresses[1], "south")]);
+    let platform = Platform::start(known.clone(), 0);
+    let by_all = r#""name":"token","aim-ms":2000.0,"deadline-ms":8000.0,"effect":"guarded","group":"all""#;
+    let by_zone = by_all.replace(r#""group":"all""#, r#""group":"zone""#);
+    let mut program = Program::start(&platform, &known, &[(by_all, &by_zone)]);
+    let mut endpoints = addresses.map(|at| Some(Manual::start(at)));
+    assert_eq!(program.hand_in("token", "x", 4000, b""), 202);
+    // Whichever it went to takes the call and is gone before the next start.
+    program.logged("an attempt goes out", 1);
+    let first = usize::from(program.log().contains(r#"ep="b" zone="south" held"#));
+    let mut line = endpoints[first].as_ref().unwrap().accept();
+    assert_eq!(hear(&mut line).unwrap().id(), "x");
+    endpoints[first] = None;
+    program.restart();
+    program.logged("outcome=ConnectFailed", 1);
+    program.restart();
+    let other = endpoints[1 - first].take().unwrap();
+    let notice = platform.notices.recv_timeout(Duration::from_secs(6)).expect("no final answer came");
+    assert!(notice.contains(r#""state":"failed""#), "it may have run: {notice}");
+    assert!(other.is_left_alone(), "it went to another group");
+}
