An outcome closes only the attempt that was recorded for it

Tries::back then closed whichever attempt stood as out: that of the killed process. The module of that process still knew better; the one after the next kill read 'nothing out, nothing ran'. Evidence: 13 of 13 webhooks found with an attempt out at the first start and again at the second had lost it, each tried meanwhile at an endpoint that ended as not-up.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -4,7 +4,7 @@
 use crate::backlog::{Backlog, Resumable};
 use crate::clients::{HandIn, Reply};
 use crate::config::Config;
-use crate::endpoints::{self, Answer, Call, Ending, Load};
+use crate::endpoints::{self, Answer, Call, CalledWebhook, Ending, Load};
 use crate::journal::{End, Journal, Tries, Webhook, key_hash};
 use crate::list::{Health, News};
 use crate::notices::Notices;
@@ -395,7 +395,8 @@
             );
             self.sender.told_wait(now, &call.ep, answer.wait, &mut self.asked);
         }
-        for ((number, id), ending) in call.webhooks.iter().zip(endings) {
+        for (webhook, ending) in call.webhooks.iter().zip(endings) {
+            let CalledWebhook { number, id, attempt } = webhook;
             let before = self.journal.tries(*number);
             let may_run = matches!(
                 ending.outcome,
@@ -405,7 +406,9 @@
             if ending.over {
                 let late = self.journal.open_webhook(*number).is_some_and(|webhook| late(&webhook));
                 self.close(*number, if late { End::DeadLettered } else { End::Over });
-            } else if let Err(e) = self.journal.back(*number, may_run) {
+            } else if let Some(attempt) = attempt
+                && let Err(e) = self.journal.back(*number, *attempt, may_run)
+            {
                 warn!(code = "journal-write", %e, "an outcome could not be written: it counts as one that may have run");
             }
             let over = !self.journal.is_open(*number);
@@ -477,19 +480,19 @@
             let joins = calls.iter_mut().rev().find(|c| c.ep == ep).filter(|c| c.webhooks.len() < batch);
             match (id, joins) {
                 (Some(id), Some(call)) => {
-                    call.webhooks.push((number, id));
+                    call.webhooks.push(CalledWebhook::new(number, id));
                     call.stop_at = call.stop_at.min(stop_at);
                 }
                 (id, _) => {
                     let list = if id.is_some() { &mut calls } else { &mut not_made };
-                    let webhooks = vec![(number, id.unwrap_or_default())];
+                    let webhooks = vec![CalledWebhook::new(number, id.unwrap_or_default())];
                     let zone = zone.to_owned();
                     list.push(Call { ep, zone, webhooks, decided_at: now, stop_at, bytes, written });
                 }
             }
         }
         for mut call in std::mem::take(&mut calls) {
-            let numbers = call.webhooks.iter().map(|(number, _)| *number);
+            let numbers = call.webhooks.iter().map(|webhook| webhook.number);
             let webhooks: Vec<_> = numbers.filter_map(|number| self.journal.open_webhook(number)).collect();
             let loads = webhooks.iter().map(|w| Load { id: &w.id, token: w.token.as_deref(), body: &w.body });
             let loads: Vec<Load> = loads.collect();
@@ -514,18 +517,19 @@
     }
 
     /// A call is about to be written, which may be long after it was decided: its connection had to come up.
-    pub fn going_out(&mut self, now: f64, call: &Call) -> GoAhead {
+    pub fn going_out(&mut self, now: f64, call: &mut Call) -> GoAhead {
         let held = now - call.decided_at;
         if now >= call.stop_at {
             let (ep, count) = (&call.ep, call.webhooks.len());
             info!(code = "not-sent", ep, count, held, "its connection came up when its time was over");
             return GoAhead::NotNow;
         }
-        if let Some((_, id)) = call.webhooks.iter().find(|w| !self.sender.may_go(now, w.0, &call.ep)) {
-            info!(code = "not-sent", id, ep = call.ep, held, "its connection came up too late");
+        if let Some(webhook) = call.webhooks.iter().find(|w| !self.sender.may_go(now, w.number, &call.ep)) {
+            info!(code = "not-sent", id = webhook.id, ep = call.ep, held, "its connection came up too late");
             return GoAhead::NotNow;
         }
-        for (number, id) in &call.webhooks {
+        for webhook in &mut call.webhooks {
+            let CalledWebhook { number, id, attempt } = webhook;
             debug!(code = "out", id, number, ep = call.ep, zone = call.zone, held, "an attempt goes out");
             // A repeat is rare, and what on-call looks for first where an effect came twice.
             let tries = self.journal.tries(*number);
@@ -541,9 +545,12 @@
                     "again: an attempt may have run"
                 );
             }
-            if let Err(e) = self.journal.out(*number, &call.zone, now) {
-                error!(code = "journal-write", %e, "an attempt could not be written down and is not made");
-                return GoAhead::NoRoom;
+            match self.journal.out(*number, &call.zone, now) {
+                Ok(recorded) => *attempt = recorded,
+                Err(e) => {
+                    error!(code = "journal-write", %e, "an attempt could not be written down and is not made");
+                    return GoAhead::NoRoom;
+                }
             }
         }
         GoAhead::Yes
--- a/crates/sender/src/driver/connection.rs
+++ b/crates/sender/src/driver/connection.rs
@@ -165,8 +165,8 @@
             Peer::Endpoint(endpoint) => {
                 self.endpoint_count -= 1;
                 self.pool.remove(&endpoint.name, id);
-                for (number, _) in endpoint.call.iter().flat_map(|c| &c.webhooks) {
-                    self.calls.remove(number);
+                for webhook in endpoint.call.iter().flat_map(|c| &c.webhooks) {
+                    self.calls.remove(&webhook.number);
                 }
             }
             Peer::List => self.list_connection = None,
--- a/crates/sender/src/driver/endpoints.rs
+++ b/crates/sender/src/driver/endpoints.rs
@@ -46,7 +46,7 @@
         debug!(code = "connecting", ep = call.ep, "a connection is opened");
         match self.connect(dial, Peer::Endpoint(EndpointConnection::new(call.ep.clone()))) {
             Ok(id) => {
-                self.calls.extend(call.webhooks.iter().map(|w| (w.0, id)));
+                self.calls.extend(call.webhooks.iter().map(|w| (w.number, id)));
                 if let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) = self.connections.get_mut(&id)
                 {
                     endpoint.call = Some(call);
@@ -75,8 +75,8 @@
         let go_ahead = if there { self.bridge.going_out(now, call) } else { GoAhead::NotNow };
         if go_ahead != GoAhead::Yes {
             let call = endpoint.call.take();
-            for (number, _) in call.iter().flat_map(|c| &c.webhooks) {
-                self.calls.remove(number);
+            for webhook in call.iter().flat_map(|c| &c.webhooks) {
+                self.calls.remove(&webhook.number);
             }
             self.failed.extend(call.map(|c| (c, Outcome::Moot(true))));
             // The connection itself is as good as any.
@@ -84,7 +84,7 @@
             return if stays { self.return_to_pool(id) } else { self.close(id, Reason::NoRoom) };
         }
         connection.out = std::mem::take(&mut call.bytes);
-        self.calls.extend(call.webhooks.iter().map(|w| (w.0, id)));
+        self.calls.extend(call.webhooks.iter().map(|w| (w.number, id)));
         let stop_at = call.stop_at;
         self.set_deadline(id, stop_at);
         self.endpoint_ready(id);
@@ -142,7 +142,7 @@
             Some(Ok(answer)) => {
                 let Some(call) = endpoint.call.take() else { return self.close(id, Reason::Unasked) };
                 let stays = end.is_none() && answer.keep && call.written && endpoint.decoder.is_clear();
-                let ids: Vec<&str> = call.webhooks.iter().map(|w| w.1.as_str()).collect();
+                let ids: Vec<&str> = call.webhooks.iter().map(|w| w.id.as_str()).collect();
                 let endings = endpoints::endings(&answer, &ids);
                 let garbage = endings.is_none();
                 let endings = endings.unwrap_or_else(|| vec![Outcome::Reset.into(); ids.len()]);
@@ -179,8 +179,8 @@
 
     /// Tells how a call ended.
     fn call_ended(&mut self, call: &Call, endings: &[Ending], answer: &Answer) {
-        for (number, _) in &call.webhooks {
-            self.calls.remove(number);
+        for webhook in &call.webhooks {
+            self.calls.remove(&webhook.number);
         }
         self.bridge.ended(self.now, call, endings, answer);
     }
--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -1,6 +1,7 @@
 //! Calls to the destinations' endpoints: how they are written, and what their answers mean.
 
 use crate::http::{Decoder, Fields, Head, MOST_BODY, Message, Start, decode_number};
+use crate::journal::AttemptNumber;
 use scalebarrow::Outcome;
 use std::collections::BTreeMap;
 
@@ -121,6 +122,24 @@
     Some(ids.iter().map(|id| results.get(id).copied().unwrap_or(Outcome::Failed.into())).collect())
 }
 
+/// A webhook in a call.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CalledWebhook {
+    /// Its number in the journal.
+    pub number: u64,
+    /// Its id.
+    pub id: String,
+    /// The attempt, once it is recorded in the journal: only then may the call be written.
+    pub attempt: Option<AttemptNumber>,
+}
+
+impl CalledWebhook {
+    /// A webhook whose attempt is not recorded yet.
+    pub fn new(number: u64, id: String) -> Self {
+        CalledWebhook { number, id, attempt: None }
+    }
+}
+
 /// A call that waits for its connection, or is out on it.
 #[derive(Debug)]
 pub struct Call {
@@ -128,8 +147,8 @@
     pub ep: String,
     /// The endpoint's zone.
     pub zone: String,
-    /// The webhooks in it, by number and id.
-    pub webhooks: Vec<(u64, String)>,
+    /// The webhooks in it.
+    pub webhooks: Vec<CalledWebhook>,
     /// When it was decided.
     pub decided_at: f64,
     /// When it is given up.
@@ -161,7 +180,7 @@
     pub fn cut_short(&mut self, call: &Call, otherwise: Outcome) -> (Vec<Ending>, Answer) {
         let count = call.webhooks.len();
         if let Some(answer) = self.decoder.ended() {
-            let ids: Vec<&str> = call.webhooks.iter().map(|w| w.1.as_str()).collect();
+            let ids: Vec<&str> = call.webhooks.iter().map(|w| w.id.as_str()).collect();
             let garbage = || vec![Outcome::Reset.into(); count];
             return (endings(&answer, &ids).unwrap_or_else(garbage), answer.head);
         }
--- a/crates/sender/src/endpoints/tests.rs
+++ b/crates/sender/src/endpoints/tests.rs
@@ -82,7 +82,8 @@
         ("HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nX: ", true, 1, Outcome::Delivered),
         ("HTTP/1.1 100 Go\r\n\r\n\u{7f}\u{3}", true, 1, Outcome::Reset),
     ] {
-        let webhooks: Vec<_> = ["a", "b"][..count].iter().map(|id| (1, id.to_string())).collect();
+        let webhooks: Vec<_> =
+            ["a", "b"][..count].iter().map(|id| CalledWebhook::new(1, id.to_string())).collect();
         let (ep, zone, bytes) = (String::from("e"), String::new(), Vec::new());
         let call = Call { ep: ep.clone(), zone, webhooks, decided_at: 0.0, stop_at: 1.0, bytes, written };
         let mut connection = EndpointConnection::new(ep);
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -9,7 +9,7 @@
 use crate::backlog::Resumable;
 use cache::Cache;
 use records::Facts;
-pub use records::{End, Trace, Tries, Webhook, key_hash};
+pub use records::{AttemptNumber, End, Trace, Tries, Webhook, key_hash};
 use scalebarrow_store::{Files, FolderFiles, Kind, OnError, Opened, Position, Record, Replayed, Store};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
@@ -207,19 +207,21 @@
         Ok(())
     }
 
-    /// An attempt is about to be written to its connection.
-    pub fn out(&mut self, number: u64, zone: &str, now: f64) -> io::Result<()> {
+    /// An attempt is about to be written to its connection. Nothing where the webhook has its final answer.
+    pub fn out(&mut self, number: u64, zone: &str, now: f64) -> io::Result<Option<AttemptNumber>> {
         if !self.is_open(number) {
-            return Ok(());
+            return Ok(None);
         }
         let mut tries = self.tries.get(number);
-        tries.out((zone.to_owned(), now));
-        self.write_tries(number, &tries, OnError::Discard)
+        let attempt = tries.out((zone.to_owned(), now));
+        self.write_tries(number, &tries, OnError::Discard)?;
+        Ok(Some(attempt))
     }
 
-    pub fn back(&mut self, number: u64, ran: bool) -> io::Result<()> {
+    /// An attempt that was recorded came back; `ran` where it may have run.
+    pub fn back(&mut self, number: u64, attempt: AttemptNumber, ran: bool) -> io::Result<()> {
         let mut tries = self.tries.get(number);
-        if !self.is_open(number) || !tries.back(ran) {
+        if !self.is_open(number) || !tries.back(attempt, ran) {
             return Ok(());
         }
         self.write_tries(number, &tries, OnError::Defer)
--- a/crates/sender/src/journal/legacy.rs
+++ b/crates/sender/src/journal/legacy.rs
@@ -107,7 +107,7 @@
             }
             LegacyRecord::Back(number, ran) => {
                 if let Some(Entry::Open { tries, .. }) = self.entries.get_mut(&number) {
-                    tries.back(ran);
+                    tries.close_out(ran);
                 }
             }
             LegacyRecord::Ended(number, id, End::Over) => {
--- a/crates/sender/src/journal/records.rs
+++ b/crates/sender/src/journal/records.rs
@@ -41,6 +41,10 @@
 /// Where an attempt went, by zone, and when.
 pub type Trace = (String, f64);
 
+/// Tells the attempts of one webhook apart: the first that is recorded is 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptNumber(u32);
+
 /// What is known of the attempts for a webhook.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Tries {
@@ -53,14 +57,23 @@
 impl Tries {
     /// An attempt goes out. One attempt is out at a time: an earlier one without an outcome was out when a process
     /// ended, or its outcome could not be written. It may have run, also when this one turns out not to have.
-    pub fn out(&mut self, trace: Trace) {
+    pub fn out(&mut self, trace: Trace) -> AttemptNumber {
         self.count += 1;
         let lost = self.out.replace(trace);
         self.ran = self.ran.take().or(lost);
+        AttemptNumber(self.count)
+    }
+
+    /// An attempt came back; `ran` where it may have run. False where it is not the one that is out.
+    pub fn back(&mut self, attempt: AttemptNumber, ran: bool) -> bool {
+        if attempt != AttemptNumber(self.count) {
+            return false;
+        }
+        self.close_out(ran)
     }
 
-    /// The attempt came back; `ran` where it may have run. False where none was out.
-    pub fn back(&mut self, ran: bool) -> bool {
+    /// Whichever attempt is out came back. False where none was out.
+    pub fn close_out(&mut self, ran: bool) -> bool {
         let Some(out) = self.out.take() else { return false };
         if ran && self.ran.is_none() {
             self.ran = Some(out);
--- a/crates/sender/src/journal/tests.rs
+++ b/crates/sender/src/journal/tests.rs
@@ -35,15 +35,19 @@
     lines
 }
 
+/// An attempt goes out and comes back.
+fn attempt<F: Files>(journal: &mut Journal<F>, number: u64, zone: &str, at: f64, ran: bool) {
+    let attempt = journal.out(number, zone, at).unwrap().unwrap();
+    journal.back(number, attempt, ran).unwrap();
+}
+
 fn fill<F: Files>(journal: &mut Journal<F>) {
     for (number, id) in [(1, "a"), (2, "b"), (3, "c"), (4, "d"), (5, "e")] {
         journal.take(number, webhook(id, 100)).unwrap();
     }
-    journal.out(1, "z", 1.5).unwrap();
-    journal.back(1, true).unwrap();
+    attempt(journal, 1, "z", 1.5, true);
     journal.out(1, "y", 2.5).unwrap();
-    journal.out(2, "z", 3.5).unwrap();
-    journal.back(2, false).unwrap();
+    attempt(journal, 2, "z", 3.5, false);
     journal.end(3, End::Rejected(0.5)).unwrap();
     journal.end(4, End::DeadLettered).unwrap();
     journal.told(4).unwrap();
@@ -97,12 +101,10 @@
     journal.out(2, "z", 1.5).unwrap();
     // Killed; one goes out again and is turned away, the other again and again without an outcome.
     let mut journal = open(&files);
-    journal.out(1, "z", 2.5).unwrap();
-    journal.back(1, false).unwrap();
+    attempt(&mut journal, 1, "z", 2.5, false);
     journal.out(2, "y", 2.5).unwrap();
     let mut journal = open(&files);
-    journal.out(2, "x", 3.5).unwrap();
-    journal.back(2, true).unwrap();
+    attempt(&mut journal, 2, "x", 3.5, true);
     let after =
         [r#"1 a 2 tries, out None, ran Some(("z", 1.5))"#, r#"2 b 3 tries, out None, ran Some(("z", 1.5))"#];
     assert_eq!(state(&mut journal), after);
@@ -110,6 +112,22 @@
     assert_eq!(state(&mut open(&files)), after);
 }
 
+/// Guards against a repeat outside its group: the outcome of one attempt must not stand for another's.
+#[test]
+fn an_outcome_closes_only_the_attempt_that_it_belongs_to() {
+    let files = MemoryFiles::default();
+    let mut journal = open(&files);
+    journal.take(1, webhook("a", 100)).unwrap();
+    let first = journal.out(1, "z", 1.5).unwrap().unwrap();
+    let second = journal.out(1, "z", 2.5).unwrap().unwrap();
+    journal.back(1, first, false).unwrap();
+    let both = r#"1 a 2 tries, out Some(("z", 2.5)), ran Some(("z", 1.5))"#;
+    assert_eq!(state(&mut journal), [both]);
+    journal.back(1, second, false).unwrap();
+    let first_alone = r#"1 a 2 tries, out None, ran Some(("z", 1.5))"#;
+    assert_eq!(state(&mut open(&files)), [first_alone]);
+}
+
 #[test]
 fn a_torn_tail_is_dropped_wherever_it_is_cut() {
     let files = MemoryFiles::default();
@@ -182,8 +200,7 @@
         // Of all that are held, each is tried again and again and a few end.
         let open = open_numbers(&journal);
         for open in open.iter().copied() {
-            journal.out(open, "zone", 1.0).unwrap();
-            journal.back(open, open % 2 == 0).unwrap();
+            attempt(&mut journal, open, "zone", 1.0, open % 2 == 0);
             highest = highest.max(files.total());
         }
         for first in open.first().iter().filter(|_| number % 3 == 0) {
@@ -228,8 +245,7 @@
     }
     for round in 0..5 {
         for number in 1..=held {
-            journal.out(number, "a-zone-with-a-name", f64::from(round)).unwrap();
-            journal.back(number, true).unwrap();
+            attempt(&mut journal, number, "a-zone-with-a-name", f64::from(round), true);
         }
     }
     for number in 1..=held {
--- a/crates/sender/tests/bridge.rs
+++ b/crates/sender/tests/bridge.rs
@@ -38,7 +38,7 @@
 
 /// The ids of the calls that the module asks for.
 fn calls(bridge: &mut Bridge, now: f64) -> Vec<String> {
-    bridge.calls(now).0.into_iter().map(|call| call.webhooks[0].1.clone()).collect()
+    bridge.calls(now).0.into_iter().map(|call| call.webhooks[0].id.clone()).collect()
 }
 
 /// What waits in the folder: 350, of keys that come round, the last with little time.
@@ -113,7 +113,7 @@
         bridge.woken(now);
         let (calls, _) = bridge.calls(now);
         for call in calls {
-            sent.push(call.webhooks[0].1.clone());
+            sent.push(call.webhooks[0].id.clone());
             let delivered = scalebarrow_sender::endpoints::Ending {
                 outcome: scalebarrow::Outcome::Delivered,
                 over: true,
