Spans of real time across lives: the folder's times are on the clock since boot

Callers saw (and tests/program/clocks.rs shows): after a step of the wall clock between two lives, or in a life before the next, repeats outside their window (1.3 s for a window of 1 s), final answers 1.3 s early or an hour late, webhooks with seconds left that were never delivered. Cause: driver/clock.rs took Unix time at each start; ends of TTL and traces of attempts were kept in it. Change: crates/sender/src/clock.rs is the one place that reads clocks. Times are seconds on a timeline that runs with CLOCK_BOOTTIME; the folder holds the boot's id and the offset. After another boot, or where that cannot be told, a new timeline begins far behind all recorded times: no window is open, nothing is owed late. Folders of the program before are carried over in that way. born_ms: another value is a start since the last list; its age by the wall clock is a hint that breaks no rule.

The form test's SBARROW3 row became SBARROW4 and the carried-over b has a trace: both as strict as before.

--- a/crates/fault-control/src/lib.rs
+++ b/crates/fault-control/src/lib.rs
@@ -76,12 +76,8 @@
 
 impl FolderFault {
     /// All faults but none.
-    pub const FAULTS: [FolderFault; 4] = [
-        FolderFault::Full,
-        FolderFault::Broken,
-        FolderFault::FullAfterHalf,
-        FolderFault::BrokenAfterHalf,
-    ];
+    pub const FAULTS: [FolderFault; 4] =
+        [FolderFault::Full, FolderFault::Broken, FolderFault::FullAfterHalf, FolderFault::BrokenAfterHalf];
 
     /// The fault that a word holds.
     pub fn from_word(word: u64) -> FolderFault {
@@ -89,6 +85,18 @@
     }
 }
 
+/// The built shim beside a program of the same workspace, of the same build or else of the release build; an error names
+/// the command that builds it.
+pub fn shim_beside(program: &Path) -> io::Result<PathBuf> {
+    const NAME: &str = "libscalebarrow_fault_shim.so";
+    let target = program.ancestors().find(|folder| folder.ends_with("target"));
+    let same = program.with_file_name(NAME);
+    let release = target.map(|target| target.join("release").join(NAME));
+    let found = [Some(same), release].into_iter().flatten().find(|path| path.exists());
+    let missing = format!("{NAME} is not built: cargo build --release -p scalebarrow-fault-shim");
+    found.ok_or_else(|| io::Error::new(io::ErrorKind::NotFound, missing))
+}
+
 /// The test's side of the file.
 #[derive(Debug)]
 pub struct Control {
@@ -104,6 +112,12 @@
         Ok(Control { path: path.to_owned(), file })
     }
 
+    /// A file that was created before, as it is.
+    pub fn open(path: &Path) -> io::Result<Control> {
+        let file = File::options().read(true).write(true).open(path)?;
+        Ok(Control { path: path.to_owned(), file })
+    }
+
     /// The file's path, for [`CONTROL_VARIABLE`].
     pub fn path(&self) -> &Path {
         &self.path
--- a/crates/sender/src/backlog.rs
+++ b/crates/sender/src/backlog.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Resumable {
     pub number: u64,
-    /// When its time is over, as Unix time in seconds.
+    /// When its time is over.
     pub ends_at: f64,
     /// The hash of its order key.
     pub key: Option<u64>,
--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -3,6 +3,7 @@
 
 use crate::backlog::{Backlog, Resumable};
 use crate::clients::{HandIn, Reply};
+use crate::clock;
 use crate::config::Config;
 use crate::endpoints::{self, Answer, Call, CalledWebhook, Ending, Load};
 use crate::journal::{End, Journal, Tries, Webhook, key_hash};
@@ -87,6 +88,8 @@
     dial: SocketAddr,
     zone: String,
     batch: usize,
+    /// Its last start as the list told it, on the list's wall clock.
+    born_ms: f64,
 }
 
 /// The first attempt that may have run, for the log: where and how long ago.
@@ -104,6 +107,8 @@
     /// What a start found and the module does not know yet, and until when that rests.
     backlog: Backlog,
     resumes_at: Option<f64>,
+    /// When the list was told last.
+    listed_at: f64,
     /// The ids of those that ended last.
     recent: BTreeSet<String>,
     recent_order: VecDeque<String>,
@@ -125,6 +130,7 @@
             places: BTreeMap::new(),
             backlog,
             resumes_at: None,
+            listed_at: now,
             recent: BTreeSet::new(),
             recent_order: VecDeque::new(),
             next: journal.next_number(),
@@ -167,7 +173,7 @@
             Ok(None) => return,
             Err(error) if error.kind() == ErrorKind::InvalidData => {
                 error!(code = "journal-read", number, %error, "a webhook is damaged and given up");
-                return self.close(number, End::Over);
+                return self.close(now, number, End::Over);
             }
             Err(error) => {
                 error!(code = "journal-read", number, %error, "a webhook cannot be read yet");
@@ -191,7 +197,7 @@
         let (key, customer) = (webhook.order_key.as_deref(), webhook.customer.as_deref());
         let (event_type, dest, out) = (&webhook.event_type, webhook.dest, &mut self.asked);
         self.sender.resumed(now, number, event_type, dest, key, customer, left, tries.count, ran, out);
-        self.settle();
+        self.settle(now);
     }
 
     /// The configuration was read again. What is held and owed goes on.
@@ -215,9 +221,9 @@
     }
 
     /// Final answers that the last input brought, other than for a webhook just handed in.
-    fn settle(&mut self) {
+    fn settle(&mut self, now: f64) {
         for (number, end) in std::mem::take(&mut self.asked.ends) {
-            self.close(number, end);
+            self.close(now, number, end);
         }
     }
 
@@ -231,7 +237,7 @@
         }
     }
 
-    fn close(&mut self, number: u64, end: End) {
+    fn close(&mut self, now: f64, number: u64, end: End) {
         if !self.journal.is_open(number) {
             return;
         }
@@ -242,8 +248,8 @@
         }
         if let Some(webhook) = webhook {
             if end != End::Over {
-                let (id, dest, ends_at) = (&webhook.id, webhook.dest, webhook.ends_at);
-                info!(code = "given-up", id, dest, ?end, tries, ends_at, "a final answer is owed");
+                let (id, dest, left) = (&webhook.id, webhook.dest, webhook.ends_at - now);
+                info!(code = "given-up", id, dest, ?end, tries, left, "a final answer is owed");
             }
             self.remember(webhook.id.clone());
         }
@@ -278,7 +284,7 @@
         let at_once = self.asked.ends.iter().find(|e| e.0 == number).map(|e| e.1);
         let id = webhook.id.clone();
         let taken = at_once.is_none().then(|| self.journal.take(number, webhook));
-        self.settle();
+        self.settle(now);
         match (at_once, taken) {
             (Some(End::Rejected(come_back)), _) => (Reply::Rejected(come_back), None),
             (Some(_), _) | (None, None) => (Reply::Status(500), None),
@@ -289,7 +295,7 @@
             (None, Some(Err(e))) => {
                 error!(code = "journal-write", %e, "a webhook could not be taken on");
                 self.sender.withdrawn(now, number, &mut self.asked);
-                self.settle();
+                self.settle(now);
                 (Reply::NoRoom, None)
             }
         }
@@ -325,7 +331,7 @@
             warn!(code = "journal-write", %e, "a withdrawal could not be written; it may come again after a restart");
         }
         self.sender.withdrawn(now, number, &mut self.asked);
-        self.settle();
+        self.settle(now);
     }
 
     pub fn list(&mut self, now: f64, news: &News, remembered: bool) {
@@ -341,7 +347,8 @@
             let ready = h.health == Health::Serving;
             let (ep, zone, kind) = (h.host.as_str(), h.site.as_str(), h.kind.as_str());
             let rate = h.rate.filter(|_| self.config.lists_rates()).unwrap_or(0.0);
-            let born = h.born_ms.unwrap_or(0.0) / 1e3;
+            let born_ms = h.born_ms.unwrap_or(0.0);
+            let born = self.born(now, ep, born_ms);
             debug!(code = "endpoint", ep, dest, kind, zone, rate, born, health = ?h.health, "an endpoint is listed");
             entries.push(Entry { ep, zone, kind, dest, ready, rate, born });
             if h.health == Health::Deleted {
@@ -350,7 +357,7 @@
                 continue;
             }
             let (dial, zone, batch) = (h.dial, h.site.clone(), self.config.batch(&h.kind));
-            let old = self.places.insert(h.host.clone(), Place { dial, zone, batch });
+            let old = self.places.insert(h.host.clone(), Place { dial, zone, batch, born_ms });
             if old.is_some_and(|p| p.dial != dial) {
                 self.asked.actions.push(Action::CloseIdle(h.host.clone()));
             }
@@ -362,24 +369,40 @@
         };
         debug!(code = "listed", seq = news.seq, ?mode, "the list is told");
         self.sender.list(now, mode, &entries, &mut self.asked);
-        self.settle();
+        self.listed_at = now;
+        self.settle(now);
+    }
+
+    /// When an endpoint started last, on this process's clock; 0 for long ago. The list tells it on a wall clock, of which
+    /// only two things are used: that another time is told than before, which is a start since then, and its age by
+    /// the wall clock here, which may be wrong and leads to a slower or quicker ramp at most.
+    fn born(&self, now: f64, ep: &str, born_ms: f64) -> f64 {
+        if born_ms <= 0.0 {
+            return 0.0;
+        }
+        let born = now - clock::wall_clock_age(born_ms / 1e3);
+        match self.places.get(ep) {
+            Some(place) if place.born_ms == born_ms => born,
+            Some(_) => born.max(self.listed_at),
+            None => born,
+        }
     }
 
     /// The list could not be had.
     pub fn no_list(&mut self, now: f64) {
         self.sender.list(now, ListMode::Refused, &[], &mut self.asked);
-        self.settle();
+        self.settle(now);
     }
 
     pub fn woken(&mut self, now: f64) {
         self.sender.woken(now, 0, &mut self.asked);
-        self.settle();
+        self.settle(now);
     }
 
     /// The process will end; what is not back by then may have run.
     pub fn closing(&mut self, now: f64, by: f64) {
         self.sender.closing(now, by, &mut self.asked);
-        self.settle();
+        self.settle(now);
     }
 
     /// A call ended, with one ending for each of its webhooks.
@@ -405,7 +428,7 @@
             let late = |w: &Webhook| now > w.ends_at - TOO_LATE && ending.outcome == Outcome::Delivered;
             if ending.over {
                 let late = self.journal.open_webhook(*number).is_some_and(|webhook| late(&webhook));
-                self.close(*number, if late { End::DeadLettered } else { End::Over });
+                self.close(now, *number, if late { End::DeadLettered } else { End::Over });
             } else if let Some(attempt) = attempt
                 && let Err(e) = self.journal.back(*number, *attempt, may_run)
             {
@@ -429,7 +452,7 @@
             self.log_if_may_have_run(now, *number, id, call, outcome, &before);
             let out = &mut self.asked;
             self.sender.outcome(now, *number, &call.ep, ending.outcome, took, over, report, out);
-            self.settle();
+            self.settle(now);
         }
     }
 
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -3,7 +3,6 @@
 
 mod budgets;
 mod clients;
-mod clock;
 mod connection;
 mod endpoints;
 mod event_loop;
@@ -13,12 +12,12 @@
 mod timers;
 
 use crate::bridge::Bridge;
+use crate::clock::{BootReading, Clock};
 use crate::config::Config;
 use crate::endpoints::{Call, Pool};
 use crate::journal::Journal;
 use crate::list::List;
 use budgets::{max_buffered, max_connections};
-use clock::Clock;
 use connection::Connection;
 use mio::net::{TcpListener, UnixStream};
 use mio::{Interest, Poll, Token};
@@ -89,12 +88,13 @@
 
 /// Serves until SIGTERM.
 pub fn serve(config: Config, path: &Path, state: &Path) -> io::Result<()> {
-    let clock = Clock::start();
-    let now = clock.now();
     let mut reload_signals = signal_pipe(&[signal_hook::consts::SIGHUP])?;
     let most = config.limits.disk();
     let named = |name: String| move |e: io::Error| io::Error::new(e.kind(), format!("{name}: {e}"));
-    let (journal, dropped) = Journal::open(state, most).map_err(named(state.display().to_string()))?;
+    let (journal, dropped) =
+        Journal::open(state, most, &BootReading::now()).map_err(named(state.display().to_string()))?;
+    let clock = Clock::on(journal.timeline());
+    let now = clock.now();
     if dropped > 0 {
         warn!(
             code = "journal-torn",
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -2,12 +2,15 @@
 //! in a [`Store`]; in memory a webhook takes a few dozen bytes, and its body, id and names are read when needed.
 
 mod cache;
+mod form;
 mod legacy;
 mod records;
 mod tries;
 
 use crate::backlog::Resumable;
+use crate::clock::{BootReading, Timeline};
 use cache::Cache;
+use form::Form;
 use records::Facts;
 pub use records::{AttemptNumber, End, Trace, Tries, Webhook, key_hash};
 use scalebarrow_store::{Files, FolderFiles, Kind, OnError, Opened, Position, Record, Replayed, Store};
@@ -15,15 +18,9 @@
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
-use tracing::error;
+use tracing::{error, info, warn};
 use tries::TriesTable;
 
-/// The file that names the folder's form, and its content; another number for another form.
-const FORM_FILE: &str = "journal";
-const NEW_FORM_FILE: &str = "journal.new";
-const FORM: &[u8; 8] = b"SBARROW2";
-/// What the two take up.
-const FORM_FILES: usize = 2 * 4096;
 /// The tags of values: a webhook without a final answer, and a final answer that is owed.
 const OPEN: u8 = 0;
 const OWED: u8 = 1;
@@ -36,6 +33,7 @@
 
 pub struct Journal<F = FolderFiles> {
     store: Store<F>,
+    timeline: Timeline,
     /// By the hash of the id, those without a final answer.
     ids: BTreeSet<(u64, u64)>,
     tries: TriesTable,
@@ -87,27 +85,76 @@
 impl Journal {
     /// Opens the folder's journal, or starts one. `most` is the limit in bytes. A folder of the program before segments
     /// is carried over. The count is of bytes of unfinished records that were dropped.
-    pub fn open(folder: &Path, most: usize) -> io::Result<(Journal, usize)> {
-        Self::open_files(FolderFiles::new(folder), most)
+    pub fn open(folder: &Path, most: usize, reading: &BootReading) -> io::Result<(Journal, usize)> {
+        Self::open_files(FolderFiles::new(folder), most, reading)
     }
 }
 
 impl<F: Files> Journal<F> {
     /// Opens the journal among the files, as [`Journal::open`] does.
-    pub fn open_files(mut files: F, most: usize) -> io::Result<(Self, usize)> {
-        let form = read_form(&mut files)?;
-        match form.as_ref() {
-            Some(form) if form == FORM => Self::open_store(files, most),
-            Some(form) if form == legacy::FORM => Self::carry_over(files, most),
-            Some(_) => Err(io::Error::new(io::ErrorKind::InvalidData, "holds a journal of another form")),
-            None => {
-                write_form(&mut files)?;
-                Self::open_store(files, most)
+    pub fn open_files(mut files: F, most: usize, reading: &BootReading) -> io::Result<(Self, usize)> {
+        match Form::read(&mut files)? {
+            Form::Present(timeline) => {
+                let (mut journal, torn) = Self::open_store(files, most, reading)?;
+                journal.go_on(timeline, reading);
+                Ok((journal, torn))
             }
+            Form::UnixTime => {
+                let (mut journal, torn) = Self::open_store(files, most, reading)?;
+                journal.leave_unix_time(reading)?;
+                Ok((journal, torn))
+            }
+            Form::SingleFile => Self::carry_over(files, most, reading),
+            Form::Other => Err(io::Error::new(io::ErrorKind::InvalidData, "holds a journal of another form")),
+            Form::Missing => {
+                let timeline = Timeline::begin(reading);
+                form::write(&mut files, &timeline)?;
+                let (mut journal, torn) = Self::open_store(files, most, reading)?;
+                journal.timeline = timeline;
+                Ok((journal, torn))
+            }
+        }
+    }
+
+    /// The timeline that the times in the folder are on.
+    pub fn timeline(&self) -> Timeline {
+        self.timeline
+    }
+
+    /// Goes on with the timeline that was read, or begins one behind it where that cannot be.
+    fn go_on(&mut self, read: Option<Timeline>, reading: &BootReading) {
+        let last_event = self.tries.last_attempt();
+        if let Some(timeline) = read.filter(|timeline| timeline.goes_on(last_event, reading)) {
+            self.timeline = timeline;
+            return;
+        }
+        self.timeline = Timeline::begin_behind(self.reached(), reading);
+        info!(code = "clock-new", "the machine was booted since, or that cannot be told: all spans are over");
+        // Where it cannot be written the next start begins behind this one again.
+        if let Err(e) = form::write(self.store.files_mut(), &self.timeline) {
+            warn!(code = "journal-write", %e, "the clock's place could not be written");
+        }
+    }
+
+    /// The latest time that a record names.
+    fn reached(&self) -> f64 {
+        let ends = self.resumable.iter().map(|webhook| webhook.ends_at);
+        ends.fold(self.tries.last_attempt(), f64::max)
+    }
+
+    /// Carries a folder over whose times are Unix time: how old they are cannot be told. Its program could take an attempt
+    /// that may have run for one that had not, where it only counted it.
+    fn leave_unix_time(&mut self, reading: &BootReading) -> io::Result<()> {
+        for number in self.tries.without_trace() {
+            let mut tries = self.tries.get(number);
+            tries.ran = Some(Trace::default());
+            self.write_tries(number, &tries, OnError::Discard)?;
         }
+        self.timeline = Timeline::begin_behind(self.reached(), reading);
+        form::write(self.store.files_mut(), &self.timeline)
     }
 
-    fn open_store(files: F, most: usize) -> io::Result<(Self, usize)> {
+    fn open_store(files: F, most: usize, reading: &BootReading) -> io::Result<(Self, usize)> {
         let mut replay = Replay::default();
         let (mut store, Opened { torn, .. }) =
             Store::open(files, limit(most), |record| replay.record(record))?;
@@ -120,25 +167,25 @@
         let resumable = facts.into_iter().map(|(number, facts)| facts.resumable(number)).collect();
         let cache = Cache::new(CACHE);
         let next = last + 1;
-        let journal = Journal { store, ids, tries, cache, open, next, resumable, ended };
+        let timeline = Timeline::begin(reading);
+        let journal = Journal { store, timeline, ids, tries, cache, open, next, resumable, ended };
         Ok((journal, torn as usize))
     }
 
     /// Writes what an older program's file holds into segments. Until that is whole the file stands; a process that is
     /// killed before begins anew.
-    fn carry_over(mut files: F, most: usize) -> io::Result<(Self, usize)> {
+    fn carry_over(mut files: F, most: usize, reading: &BootReading) -> io::Result<(Self, usize)> {
         for name in files.list()?.iter().filter(|name| name.starts_with("segment-")) {
             files.remove(name)?;
         }
-        let old = legacy::Contents::read(&mut files, FORM_FILE)?;
-        let (mut journal, _) = Self::open_store(files, most)?;
+        let old = legacy::Contents::read(&mut files, form::FILE)?;
+        let (mut journal, _) = Self::open_store(files, most, reading)?;
         // Whether they fit was judged when they were taken on.
         journal.store.enforce_limit(false);
         old.write(&mut journal)?;
         let torn = old.torn;
-        let mut files = journal.store.into_files();
-        write_form(&mut files)?;
-        let (journal, _) = Self::open_store(files, most)?;
+        let (mut journal, _) = Self::open_store(journal.store.into_files(), most, reading)?;
+        journal.leave_unix_time(reading)?;
         Ok((journal, torn))
     }
 
@@ -344,24 +391,7 @@
 
 /// What the segments may take up.
 fn limit(most: usize) -> u64 {
-    most.saturating_sub(FORM_FILES) as u64
-}
-
-/// The first bytes of the file that names the form; nothing where there is none, or an old program was killed while it
-/// made it.
-fn read_form<F: Files>(files: &mut F) -> io::Result<Option<[u8; 8]>> {
-    let mut form = [0; 8];
-    match files.read_at(FORM_FILE, 0, &mut form) {
-        Ok(()) => Ok(Some(form)),
-        Err(e) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::UnexpectedEof) => Ok(None),
-        Err(e) => Err(e),
-    }
-}
-
-fn write_form<F: Files>(files: &mut F) -> io::Result<()> {
-    files.create(NEW_FORM_FILE)?;
-    files.append(NEW_FORM_FILE, FORM)?;
-    files.rename(NEW_FORM_FILE, FORM_FILE)
+    most.saturating_sub(form::SPACE) as u64
 }
 
 /// The id that the record of an end holds; nothing where none is to be known.
--- a/crates/sender/src/journal/records.rs
+++ b/crates/sender/src/journal/records.rs
@@ -15,7 +15,7 @@
     DeadLettered,
 }
 
-/// A webhook as it was taken on. Times are Unix time in seconds.
+/// A webhook as it was taken on. Times are seconds on the folder's [timeline](crate::clock::Timeline).
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Webhook {
     pub id: String,
--- a/crates/sender/src/journal/tests.rs
+++ b/crates/sender/src/journal/tests.rs
@@ -1,5 +1,6 @@
 use super::legacy::LegacyRecord;
 use super::*;
+use crate::clock::BootId;
 use scalebarrow_store::{Fault, FaultyFiles, MemoryFiles};
 
 const MOST: usize = 200_000;
@@ -12,8 +13,13 @@
     Webhook { id, event_type, dest: 7, order_key, customer, token, ends_at: 9.5, body: vec![b'x'; size] }
 }
 
+/// A moment after the machine's boot.
+fn reading() -> BootReading {
+    BootReading { boot: BootId::decode("39b80d28-9f9c-490f-a6b1-14195e4128f0"), elapsed: 100.0 }
+}
+
 fn open(files: &MemoryFiles) -> MemoryJournal {
-    Journal::open_files(files.clone(), MOST).unwrap().0
+    Journal::open_files(files.clone(), MOST, &reading()).unwrap().0
 }
 
 fn open_numbers<F: Files>(journal: &Journal<F>) -> Vec<u64> {
@@ -60,6 +66,9 @@
     r#"3 owed ("c", Rejected(0.5))"#,
 ];
 
+/// The same carried over from a folder in Unix time: an attempt that was only counted may have run, long ago.
+const CARRIED: [&str; 3] = [FILLED[0], r#"2 b 1 tries, out None, ran Some(("", 0.0))"#, FILLED[2]];
+
 /// Enough comes and goes that all which stays was copied to other segments.
 fn churn<F: Files>(journal: &mut Journal<F>) {
     let first = journal.next_number();
@@ -76,7 +85,7 @@
     let mut journal = open(&files);
     fill(&mut journal);
     assert_eq!(state(&mut journal), FILLED);
-    let (mut journal, dropped) = Journal::open_files(files.clone(), MOST).unwrap();
+    let (mut journal, dropped) = Journal::open_files(files.clone(), MOST, &reading()).unwrap();
     assert_eq!((state(&mut journal), dropped), (FILLED.map(String::from).to_vec(), 0));
     assert_eq!((journal.next_number(), journal.open_count()), (6, 2));
     assert_eq!(journal.take_ended(), ["c", "d", "e"]);
@@ -140,7 +149,7 @@
     for cut in whole..end {
         let mut torn = files.copied();
         torn.truncate(segment, cut).unwrap();
-        let (mut journal, dropped) = Journal::open_files(torn.clone(), MOST).unwrap();
+        let (mut journal, dropped) = Journal::open_files(torn.clone(), MOST, &reading()).unwrap();
         assert_eq!((state(&mut journal).len(), dropped as u64), (1, cut - whole), "cut at {cut}");
         // What follows stands behind whole records only.
         journal.take(3, webhook("c", 30)).unwrap();
@@ -162,7 +171,8 @@
 fn a_folder_of_another_form_is_refused_and_left_alone() {
     for (content, error) in [
         (&b"something else"[..], Some("holds a journal of another form")),
-        (b"SBARROW3", Some("holds a journal of another form")),
+        (b"SBARROW4", Some("holds a journal of another form")),
+        (b"SBARROW3", None),
         (b"SBARROW2", None),
         // An older program was killed while it began.
         (b"SBA", None),
@@ -171,7 +181,7 @@
         let mut files = MemoryFiles::default();
         files.create("journal").unwrap();
         files.append("journal", content).unwrap();
-        let opened = Journal::open_files(files.clone(), MOST);
+        let opened = Journal::open_files(files.clone(), MOST, &reading());
         assert_eq!(opened.map(drop).map_err(|e| e.to_string()).err().as_deref(), error, "{content:?}");
         if error.is_some() {
             assert_eq!(files.total(), content.len() as u64);
@@ -182,7 +192,69 @@
     drop(open(&files));
     let mut form = [0; 8];
     files.clone().read_at("journal", 0, &mut form).unwrap();
-    assert_eq!((&form, files.length("journal").unwrap()), (b"SBARROW2", 8));
+    assert_eq!((&form, files.length("journal").unwrap()), (b"SBARROW3", 36));
+}
+
+/// A folder of the program before, with the same segments and times in Unix time.
+fn folder_in_unix_time() -> MemoryFiles {
+    let files = MemoryFiles::default();
+    fill(&mut open(&files));
+    let mut changed = files.clone();
+    changed.create("journal").unwrap();
+    changed.append("journal", b"SBARROW2").unwrap();
+    files
+}
+
+/// Guards against spans that are told by a clock which says nothing of them: after another boot, or in a folder in Unix
+/// time, all times in the folder are long past.
+#[test]
+fn spans_go_on_in_the_same_boot_and_are_over_after_another_one() {
+    let filled = MemoryFiles::default();
+    fill(&mut open(&filled));
+    let now = open(&filled).timeline().at(&reading());
+    let other = BootId::decode("00000000-9f9c-490f-a6b1-14195e4128f0");
+    let mut illegible = filled.copied();
+    illegible.append("journal", b"x").unwrap();
+    let mut flipped = filled.copied();
+    flipped.create("journal").unwrap();
+    flipped.append("journal", b"SBARROW3xxxxxxxxxxxxxxxxxxxxxxxxxxxx").unwrap();
+    // The folder, the boot and seconds since it, whether the timeline goes on there.
+    let cases = [
+        ("the same boot", &filled, reading().boot, 130.0, true),
+        ("bytes behind the timeline", &illegible, reading().boot, 130.0, true),
+        ("another boot", &filled, other, 130.0, false),
+        ("a boot that cannot be told", &filled, None, 130.0, false),
+        ("a timeline that cannot be read", &flipped, reading().boot, 130.0, false),
+        ("a folder in Unix time", &folder_in_unix_time(), reading().boot, 130.0, false),
+    ];
+    for (name, files, boot, elapsed, goes_on) in cases {
+        let (files, later) = (files.copied(), BootReading { boot, elapsed });
+        for _ in 0..2 {
+            let journal = Journal::open_files(files.clone(), MOST, &later).unwrap().0;
+            let then = journal.timeline().at(&later);
+            assert_eq!(then == now + 30.0, goes_on, "{name}: {then} after {now}");
+            assert!(goes_on || then > journal.reached() + 1e7, "{name}: {then}");
+        }
+    }
+}
+
+#[test]
+fn a_folder_in_unix_time_is_carried_over_whenever_it_is_killed() {
+    let before = folder_in_unix_time();
+    let whole = FaultyFiles::new(before.copied(), None);
+    let count = whole.operations();
+    let (mut journal, _) = Journal::open_files(whole, MOST, &reading()).unwrap();
+    assert_eq!(state(&mut journal), CARRIED);
+    for at in 0..count.get() {
+        for fault in [Fault::KillBefore(at), Fault::KillWithin(at, 0), Fault::KillWithin(at, 60)] {
+            let disk = before.copied();
+            assert!(
+                Journal::open_files(FaultyFiles::new(disk.clone(), Some(fault)), MOST, &reading()).is_err()
+            );
+            assert_eq!(state(&mut open(&disk)), CARRIED, "{fault:?}");
+            assert_eq!(state(&mut open(&disk)), CARRIED, "{fault:?}");
+        }
+    }
 }
 
 #[test]
@@ -224,7 +296,7 @@
             &LegacyRecord::Taken(1000, webhook("0123456789abcdef", size), Tries::default()),
         );
         let before = (most - 4 * 512 - 64 * 1024) / (2 * (record.len() + 8 + 256));
-        let mut journal = Journal::open_files(MemoryFiles::default(), most).unwrap().0;
+        let mut journal = Journal::open_files(MemoryFiles::default(), most, &reading()).unwrap().0;
         let mut held = 0;
         while journal.has_room(&webhook("0123456789abcdef", size)) {
             held += 1;
@@ -267,13 +339,13 @@
     let count = {
         let files = FaultyFiles::new(disk.copied(), None);
         let count = files.operations();
-        Journal::open_files(files, MOST).unwrap().0.take(1, webhook("a", 10)).unwrap();
+        Journal::open_files(files, MOST, &reading()).unwrap().0.take(1, webhook("a", 10)).unwrap();
         count.get()
     };
     // An append that fails is followed by a cut.
     let full = Fault::Full { from: count, operations: 4, leaves: 50 };
     let files = FaultyFiles::new(disk.clone(), Some(full));
-    let mut journal = Journal::open_files(files, MOST).unwrap().0;
+    let mut journal = Journal::open_files(files, MOST, &reading()).unwrap().0;
     journal.take(1, webhook("a", 10)).unwrap();
     assert!(journal.take(2, webhook("b", 10)).is_err());
     assert_eq!(state(&mut journal).len(), 1);
@@ -340,20 +412,22 @@
     files.append("journal", b"torn").unwrap();
     let whole = FaultyFiles::new(before.copied(), None);
     let count = whole.operations();
-    let (mut journal, dropped) = Journal::open_files(whole, MOST).unwrap();
-    assert_eq!((state(&mut journal), dropped), (FILLED.map(String::from).to_vec(), 4));
+    let (mut journal, dropped) = Journal::open_files(whole, MOST, &reading()).unwrap();
+    assert_eq!((state(&mut journal), dropped), (CARRIED.map(String::from).to_vec(), 4));
     let operations = count.get();
     for at in 0..operations {
         for fault in [Fault::KillBefore(at), Fault::KillWithin(at, 0), Fault::KillWithin(at, 60)] {
             let disk = before.copied();
-            assert!(Journal::open_files(FaultyFiles::new(disk.clone(), Some(fault)), MOST).is_err());
+            assert!(
+                Journal::open_files(FaultyFiles::new(disk.clone(), Some(fault)), MOST, &reading()).is_err()
+            );
             let mut journal = open(&disk);
-            assert_eq!(state(&mut journal), FILLED, "{fault:?}");
+            assert_eq!(state(&mut journal), CARRIED, "{fault:?}");
             assert_eq!(journal.take_ended(), ["c", "d", "e", "c"], "{fault:?}");
             assert_eq!(*journal.open_webhook(2).unwrap(), webhook("b", 100));
             assert_eq!(journal.next_number(), 4);
             // It is carried over once.
-            assert_eq!(state(&mut open(&disk)), FILLED, "{fault:?}");
+            assert_eq!(state(&mut open(&disk)), CARRIED, "{fault:?}");
         }
     }
 }
@@ -369,7 +443,7 @@
     let mut files = disk.clone();
     files.create("journal").unwrap();
     files.append("journal", &bytes).unwrap();
-    let mut journal = Journal::open_files(disk.clone(), 3_000_000).unwrap().0;
+    let mut journal = Journal::open_files(disk.clone(), 3_000_000, &reading()).unwrap().0;
     assert!(disk.total() <= 3_000_000);
     assert_eq!(open_numbers(&journal).len(), 3000);
     for number in 1..=3000 {
--- a/crates/sender/src/journal/tries.rs
+++ b/crates/sender/src/journal/tries.rs
@@ -38,6 +38,18 @@
         self.tries.insert(number, CompactTries { count: tries.count, out, ran });
     }
 
+    /// When the last attempt was made.
+    pub fn last_attempt(&self) -> f64 {
+        let traces = self.tries.values().flat_map(|tries| [tries.out, tries.ran]).flatten();
+        traces.map(|trace| trace.at).fold(f64::NEG_INFINITY, f64::max)
+    }
+
+    /// Those of which attempts are counted and none is known to have been out.
+    pub fn without_trace(&self) -> Vec<u64> {
+        let unknown = |tries: &CompactTries| tries.count > 0 && tries.out.is_none() && tries.ran.is_none();
+        self.tries.iter().filter(|(_, tries)| unknown(tries)).map(|(number, _)| *number).collect()
+    }
+
     pub fn remove(&mut self, number: u64) {
         self.tries.remove(&number);
     }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod backlog;
 pub mod bridge;
 pub mod clients;
+pub mod clock;
 pub mod config;
 pub mod driver;
 pub mod endpoints;
--- a/crates/sender/tests/bridge.rs
+++ b/crates/sender/tests/bridge.rs
@@ -2,6 +2,7 @@
 
 use scalebarrow_sender::bridge::Bridge;
 use scalebarrow_sender::clients::{HandIn, Reply};
+use scalebarrow_sender::clock::BootReading;
 use scalebarrow_sender::config::Config;
 use scalebarrow_sender::journal::Journal;
 use std::path::{Path, PathBuf};
@@ -26,7 +27,7 @@
 }
 
 fn open(folder: &Path, now: f64) -> Bridge {
-    let journal = Journal::open(folder, LIMIT).unwrap().0;
+    let journal = Journal::open(folder, LIMIT, &BootReading::now()).unwrap().0;
     Bridge::open(Config::decode(CONFIG.as_bytes()).unwrap(), journal, now)
 }
 
@@ -80,7 +81,7 @@
         assert_eq!(hand_in(&mut bridge, 101.0, id, "key-0", 50.0), Reply::Taken);
     }
     drop(bridge);
-    let journal = Journal::open(&folder, LIMIT).unwrap().0;
+    let journal = Journal::open(&folder, LIMIT, &BootReading::now()).unwrap().0;
     assert_eq!(journal.open_count(), 350);
 }
 
@@ -151,5 +152,5 @@
     assert_eq!(reply, Reply::Taken);
     bridge.withdrawn(101.0, number.unwrap());
     drop(bridge);
-    assert_eq!(Journal::open(&folder, LIMIT).unwrap().0.open_count(), 350);
+    assert_eq!(Journal::open(&folder, LIMIT, &BootReading::now()).unwrap().0.open_count(), 350);
 }
--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -1,5 +1,6 @@
 //! The built program, and stand-ins for those it speaks to: endpoints, the platform, clients.
 
+use scalebarrow_fault_control::{CONTROL_VARIABLE, Control, shim_beside};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -236,6 +237,11 @@
     let mut command = Command::new("sh");
     let limit = folder.join("descriptors");
     command.args(["-c", r#"[ ! -f "$0" ] || ulimit -n "$(cat "$0")"; exec "$@""#]).arg(limit).arg(program);
+    let control = folder.join("control");
+    if control.exists() {
+        let shim = shim_beside(Path::new(env!("CARGO_BIN_EXE_scalebarrow"))).unwrap();
+        command.env("LD_PRELOAD", shim).env(CONTROL_VARIABLE, control);
+    }
     command.arg(sub).env("LB_CONFIG", folder.join("config.json")).env("LB_STATE", folder.join("state"));
     command
 }
@@ -257,7 +263,18 @@
 impl Program {
     /// Starts it on a platform's list, with changes to the configuration as (from, to).
     pub fn start(platform: &Platform, known: &str, changes: &[(&str, &str)]) -> Self {
-        let (folder, listen) = (folder(), address());
+        Self::start_in(folder(), platform, known, changes)
+    }
+
+    /// The same, with the fault shim loaded into it.
+    pub fn start_with_shim(platform: &Platform, known: &str, changes: &[(&str, &str)]) -> Self {
+        let folder = folder();
+        Control::create(&folder.join("control")).unwrap();
+        Self::start_in(folder, platform, known, changes)
+    }
+
+    fn start_in(folder: PathBuf, platform: &Platform, known: &str, changes: &[(&str, &str)]) -> Self {
+        let listen = address();
         let plain = config(listen, platform.at, known);
         let config = changes.iter().fold(plain, |c, (from, to)| {
             assert!(c.contains(from), "{from} is not in the configuration");
@@ -333,13 +350,28 @@
         }
     }
 
-    /// Kills it outright and starts it again on the same folder.
-    pub fn restart(&mut self) {
+    /// Steps the wall clock that it sees, from what the system's says.
+    pub fn step_wall_clock(&self, seconds: f64) {
+        Control::open(&self.folder.join("control")).unwrap().set_wall_step(seconds).unwrap();
+    }
+
+    /// Kills it outright.
+    pub fn kill(&mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
+    }
+
+    /// Starts it again on the same folder after it was killed.
+    pub fn relaunch(&mut self) {
         self.child = Self::spawn(&self.folder, self.listen);
     }
 
+    /// Kills it outright and starts it again on the same folder.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.relaunch();
+    }
+
     /// Descriptors that it holds now.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
--- a/crates/sender/tests/program/main.rs
+++ b/crates/sender/tests/program/main.rs
@@ -1,6 +1,7 @@
 //! Starts the program and speaks to it over sockets.
 
 mod backlog;
+mod clocks;
 mod crossings;
 mod descriptors;
 mod helpers;
