Waits, rests and late answers are counted from a clock read behind the answer

Callers saw: after 429 with Retry-After a call may come up to 0.15 s too early (0.28 s after a wait of 0.3 s was told). Cause: endpoint_ready handled what it read at the time of the turn's beginning; behind that reading the process can be held up, and the answer comes meanwhile. The same time decides whether a 200 came in its webhook's time, and when an order key's rest ends. Change: where an answer or an end was read the clock is read once more, behind the read.

--- a/crates/fault-shim/tests/shim.rs
+++ b/crates/fault-shim/tests/shim.rs
@@ -34,7 +34,9 @@
         }
         "hold" => {
             let since = Instant::now();
-            (0..20).for_each(|_| drop(Instant::now()));
+            for _ in 0..20 {
+                let _ = Instant::now();
+            }
             println!("held={}", since.elapsed().as_millis());
         }
         _ => println!("wrote={:?}", fs::write(folder.join("file"), b"0123456789").map_err(|e| e.kind())),
--- a/crates/sender/src/driver/endpoints.rs
+++ b/crates/sender/src/driver/endpoints.rs
@@ -159,6 +159,10 @@
                 }
             }
         }
+        if found.is_some() || end.is_some() {
+            // What was read was written before this moment, but may have come after the turn began.
+            self.now = self.clock.now();
+        }
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let Peer::Endpoint(endpoint) = &mut connection.peer else { return };
         match found {
--- a/crates/sender/tests/program/clocks.rs
+++ b/crates/sender/tests/program/clocks.rs
@@ -1,6 +1,7 @@
 //! The wall clock is stepped between two lives of the program, or in one; spans of real time stay as they are.
 
-use crate::helpers::{Deed, Endpoint, Manual, OK, Platform, Program, address, host, list};
+use crate::helpers::{Deed, Endpoint, Manual, OK, Platform, Program, address, hear, host, list};
+use std::io::Write;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -108,3 +109,31 @@
         endpoint.accept();
     }
 }
+
+/// Guards against a wait that ends early: it was counted from the turn's reading of the clock, behind which the program
+/// had been held up until after the answer was written.
+#[test]
+fn a_wait_is_counted_from_when_its_answer_had_come() {
+    const WAIT: Duration = Duration::from_millis(300);
+    let at = address();
+    let endpoint = Manual::start(at);
+    let known = list(1, true, &[host("a", at, "plain", "SERVING")]);
+    let platform = Platform::start(known.clone(), 0);
+    let program = Program::start_with_shim(&platform, &known, &[]);
+    for number in 0..10 {
+        assert_eq!(program.hand_in("idem", &format!("x{number}"), 8000, b""), 202);
+        let mut line = endpoint.accept();
+        hear(&mut line).unwrap();
+        // The first half wakes the program up, and the rest comes while it is held up.
+        program.hold_up(ms(150));
+        line.write_all(b"HTTP/1.1 429 -\r\n").unwrap();
+        sleep(ms(40));
+        program.hold_up(ms(0));
+        line.write_all(b"Retry-After: 0.3\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").unwrap();
+        let told = Instant::now();
+        let mut line = endpoint.accept();
+        hear(&mut line).unwrap();
+        assert!(told.elapsed() >= WAIT, "{number}: sent {:?} after it was told to wait", told.elapsed());
+        line.write_all(b"HTTP/1.1 200 -\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").unwrap();
+    }
+}
--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -1,6 +1,6 @@
 //! The built program, and stand-ins for those it speaks to: endpoints, the platform, clients.
 
-use scalebarrow_fault_control::{CONTROL_VARIABLE, Control, shim_beside};
+use scalebarrow_fault_control::{CONTROL_VARIABLE, Control, RATE_UNIT, Word, shim_beside};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -355,6 +355,13 @@
         Control::open(&self.folder.join("control")).unwrap().set_wall_step(seconds).unwrap();
     }
 
+    /// Holds it up behind each reading of its clock, for so long at most.
+    pub fn hold_up(&self, most: Duration) {
+        let control = Control::open(&self.folder.join("control")).unwrap();
+        control.set(Word::HoldUpMicros, most.as_micros() as u64).unwrap();
+        control.set(Word::HoldUpRate, RATE_UNIT).unwrap();
+    }
+
     /// Kills it outright.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
