A start goes on where an unfinished record cannot be cut off, or no segment made

Callers saw: a sender that was killed within a write and started while the folder failed (ENOSPC, EIO) did not start at all. Cause: Store::open passed on the error of a truncation, of removing a segment without a header and, but for StorageFull, of opening the active segment; none of them is needed to read what is there. Change: the segment stays in doubt and is cut off before the next record, as after a failed append; a read-only or forbidden folder is still refused. Test: a_start_on_a_torn_journal_needs_no_write failed before (not listening after 15 s), passes now.

--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -1,6 +1,6 @@
 //! The built program, and stand-ins for those it speaks to: endpoints, the platform, clients.
 
-use scalebarrow_fault_control::{CONTROL_VARIABLE, Control, RATE_UNIT, Word, shim_beside};
+use scalebarrow_fault_control::{CONTROL_VARIABLE, Control, FolderFault, RATE_UNIT, Word, shim_beside};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -362,6 +362,21 @@
         control.set(Word::HoldUpRate, RATE_UNIT).unwrap();
     }
 
+    /// Has writes to its folder fail, or go through again.
+    pub fn fail_folder(&self, fault: FolderFault) {
+        let control = Control::open(&self.folder.join("control")).unwrap();
+        control.set(Word::FolderFault, fault as u64).unwrap();
+    }
+
+    /// Leaves an unfinished record at the end of its journal, as a kill within a write does.
+    pub fn tear_journal(&self) {
+        let files = std::fs::read_dir(self.folder.join("state")).unwrap().map(|file| file.unwrap().path());
+        let is_segment = |path: &PathBuf| path.to_string_lossy().contains("segment-");
+        let last = files.filter(is_segment).max().unwrap();
+        let mut segment = std::fs::File::options().append(true).open(last).unwrap();
+        segment.write_all(b"half a record").unwrap();
+    }
+
     /// Kills it outright.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
--- a/crates/sender/tests/program/main.rs
+++ b/crates/sender/tests/program/main.rs
@@ -4,6 +4,7 @@
 mod clocks;
 mod crossings;
 mod descriptors;
+mod folder;
 mod helpers;
 mod sockets;
 mod writes;
--- a/crates/store/src/store/open.rs
+++ b/crates/store/src/store/open.rs
@@ -87,13 +87,14 @@
     }
 
     /// Makes sure that there is a segment to append to, and that its file is open: records can be written from then on
-    /// also where descriptors are short. Where the disk is full a start still has to read what there is.
+    /// also where descriptors are short. Where the disk fails a start still has to read what there is.
     fn open_active(&mut self) -> io::Result<()> {
         let opened = match &self.active {
             Some(active) => self.files.append(&active.name, &[]),
             None => self.create_active(),
         };
-        opened.or_else(|error| if error.kind() == ErrorKind::StorageFull { Ok(()) } else { Err(error) })
+        let forbidden = [ErrorKind::PermissionDenied, ErrorKind::ReadOnlyFilesystem];
+        opened.or_else(|error| if forbidden.contains(&error.kind()) { Err(error) } else { Ok(()) })
     }
 
     fn check_version(&mut self, segment: u32) -> io::Result<()> {
@@ -114,7 +115,9 @@
         if length < HEADER as u64 {
             // The process ended while it made this one.
             opened.torn += length;
-            return self.files.remove(&name);
+            // Where it cannot be removed it is made anew, as its number is the next one.
+            let _ = self.files.remove(&name);
+            return Ok(());
         }
         self.planner.add_sealed(segment, length);
         if let Some(items) = self.read_checkpoint(&name, length)? {
@@ -126,10 +129,9 @@
         opened.read += length;
         opened.torn += length - whole;
         if is_last {
-            if whole < length {
-                self.files.truncate(&name, whole)?;
-            }
-            let active = Active { segment, name, length: whole, items, in_doubt: false };
+            // Where it cannot be cut off now it is before the next record.
+            let in_doubt = whole < length && self.files.truncate(&name, whole).is_err();
+            let active = Active { segment, name, length: whole, items, in_doubt };
             self.planner.remove(segment);
             self.planner.set_active(segment, active.sealed_length());
             self.active = Some(active);
