A final answer is told once its record is written, or its webhook's time is over

Callers saw: a webhook returned as harmless to hand in again was sent after all. Cause: Bridge::close told the platform also where the record of the end could only be deferred (folder full or broken); a process after a kill found the webhook open and untried. Change: such a notice waits (crates/sender/src/withheld.rs) until the record is written, which is tried each 0.1 s, or until the webhook's time is over, when no process can make an attempt any more. Test: what_was_given_up_while_the_folder_failed_is_not_sent_after_a_kill failed before (x1 was given up and sent), passes now for all four faults.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -9,6 +9,7 @@
 use crate::journal::{End, Journal, Tries, Webhook, key_hash};
 use crate::list::{Health, News};
 use crate::notices::Notices;
+use crate::withheld::{RETRY_PAUSE, Withheld};
 use scalebarrow::{Entry, ListMode, Outbox, Outcome, Sender};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::ErrorKind;
@@ -103,6 +104,7 @@
     asked: Asked,
     journal: Journal,
     pub notices: Notices,
+    withheld: Withheld,
     places: BTreeMap<String, Place>,
     /// What a start found and the module does not know yet, and until when that rests.
     backlog: Backlog,
@@ -127,6 +129,7 @@
             sender: config.open(now),
             asked: Asked::default(),
             notices: Notices::new(),
+            withheld: Withheld::default(),
             places: BTreeMap::new(),
             backlog,
             resumes_at: None,
@@ -152,6 +155,9 @@
         if let Err(e) = self.journal.step() {
             warn!(code = "journal-write", %e, "the journal cannot be compacted");
         }
+        if self.withheld.retry_due(now) {
+            self.tell_withheld(now);
+        }
         if self.resumes_at.is_some_and(|at| now < at) {
             return;
         }
@@ -165,6 +171,17 @@
         }
     }
 
+    /// Tells the final answers that waited for their records, where these can be written now.
+    fn tell_withheld(&mut self, now: f64) {
+        let written = self.journal.write_deferred().is_ok();
+        for number in self.withheld.take(now, written) {
+            self.notices.push(number);
+        }
+        if !self.withheld.is_empty() {
+            self.asked.actions.push(Action::Wake(RETRY_PAUSE));
+        }
+    }
+
     /// A webhook that was taken on by an earlier process, or waited behind one, goes to the module.
     fn resume(&mut self, now: f64, next: Resumable) {
         let number = next.number;
@@ -243,9 +260,11 @@
         }
         self.backlog.remove(number);
         let (webhook, tries) = (self.journal.open_webhook(number), self.journal.tries(number).count);
-        if let Err(e) = self.journal.end(number, end) {
-            error!(code = "journal-write", %e, "a final answer could not be written; it may come again after a restart");
+        let written = self.journal.end(number, end);
+        if let Err(e) = &written {
+            error!(code = "journal-write", %e, "a final answer could not be written; it is told once it can be");
         }
+        let ends_at = webhook.as_ref().map_or(now, |webhook| webhook.ends_at);
         if let Some(webhook) = webhook {
             if end != End::Over {
                 let (id, dest, left) = (&webhook.id, webhook.dest, webhook.ends_at - now);
@@ -253,8 +272,13 @@
             }
             self.remember(webhook.id.clone());
         }
-        if end != End::Over {
-            self.notices.push(number);
+        match end {
+            End::Over => {}
+            _ if written.is_ok() || ends_at <= now + TOO_LATE => self.notices.push(number),
+            _ => {
+                self.withheld.add(now, number, ends_at);
+                self.asked.actions.push(Action::Wake(RETRY_PAUSE));
+            }
         }
     }
 
@@ -624,6 +648,6 @@
 
     /// Nothing is held and nothing is owed.
     pub fn is_idle(&self) -> bool {
-        self.journal.open_count() == 0 && self.notices.is_empty()
+        self.journal.open_count() == 0 && self.notices.is_empty() && self.withheld.is_empty()
     }
 }
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -225,6 +225,11 @@
         self.store.needs_step()
     }
 
+    /// Writes what happened and could not be written yet.
+    pub fn write_deferred(&mut self) -> io::Result<()> {
+        self.store.write_deferred()
+    }
+
     /// Makes one bounded step of compaction, where one is due.
     pub fn step(&mut self) -> io::Result<()> {
         self.store.step()
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod journal;
 pub mod list;
 pub mod notices;
+pub mod withheld;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -258,7 +258,8 @@
         }
     }
 
-    fn write_deferred(&mut self) -> io::Result<()> {
+    /// Writes the records that wait. What cannot be written goes on waiting.
+    pub fn write_deferred(&mut self) -> io::Result<()> {
         while let Some(deferred) = self.deferred.pop_front() {
             let position = match self.write(&deferred.record()) {
                 Ok(position) => position,
