--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -33,7 +33,7 @@
 
 /// The parties of a run, by the last part of their address.
 #[derive(Clone, Copy)]
-enum Party {
+pub(crate) enum Party {
     Sender = 1,
     Discovery = 2,
     /// The first of all receivers.
@@ -42,20 +42,20 @@
 
 /// Addresses on loopback that no other run uses at the same time.
 #[derive(Debug, Clone, Copy)]
-struct Addresses {
+pub(crate) struct Addresses {
     process: u8,
     fleet: u8,
 }
 
 impl Addresses {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         static FLEETS: AtomicU16 = AtomicU16::new(0);
         let (process, fleet) = (std::process::id(), FLEETS.fetch_add(1, Ordering::Relaxed));
         let fleet = (process / 50 + u32::from(fleet)) % 250;
         Addresses { process: 200 + (process % 50) as u8, fleet: fleet as u8 }
     }
 
-    fn of(self, party: Party, port: u16) -> SocketAddr {
+    pub(crate) fn of(self, party: Party, port: u16) -> SocketAddr {
         SocketAddr::from(([127, self.process, self.fleet, party as u8], port))
     }
 
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -2,6 +2,7 @@
 //! how long restarts and list changes take, and whether the rules of delivery hold meanwhile.
 
 pub mod capacity;
+pub mod draws;
 pub mod error;
 pub mod fleet;
 pub mod guard;
@@ -10,5 +11,6 @@
 pub mod process;
 pub mod settings;
 pub mod slopes;
+pub mod soak;
 pub mod standins;
 pub mod verbs;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -3,7 +3,7 @@
 use bpaf::Bpaf;
 use scalebarrow_scale::error::Error;
 use scalebarrow_scale::verbs::{changes, day, restarts, slope, small};
-use scalebarrow_scale::{capacity, hollow, interrupt};
+use scalebarrow_scale::{capacity, hollow, interrupt, soak};
 use std::process::ExitCode;
 
 /// Measures what the built sender costs at scale, against stand-ins for list service, receivers and clients that run
@@ -27,6 +27,9 @@
     /// Play each verb in a small form, within a minute; for CI
     #[bpaf(command)]
     Small(#[bpaf(external(small::options))] small::Options),
+    /// Play senders under faults drawn from seeds; receivers' and clients' records are judged
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak::options))] soak::Options),
     /// Run hollow senders; other verbs start this by themselves
     #[bpaf(command, hide)]
     Hollow(#[bpaf(external(hollow::options))] hollow::Options),
@@ -47,6 +50,7 @@
         Verb::Changes(options) => changes::run(options, &stop),
         Verb::Day(options) => day::run(options, &stop),
         Verb::Small(options) => small::run(options, &stop),
+        Verb::Soak(options) => soak::run(options, &stop),
         Verb::Hollow(options) => hollow::run(options),
         Verb::Capacity(options) => capacity::run(options),
     }
--- a/crates/scale/src/process.rs
+++ b/crates/scale/src/process.rs
@@ -5,6 +5,7 @@
 use crate::guard::Guard;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use scalebarrow_fault_control::{CONTROL_VARIABLE, Control, shim_beside};
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -87,6 +88,8 @@
     folder: Folder,
     guard: Arc<Guard>,
     child: Option<Child>,
+    log_level: &'static str,
+    environment: Vec<(&'static str, PathBuf)>,
 }
 
 impl Sender {
@@ -96,7 +99,40 @@
     ) -> Result<Sender, Error> {
         let folder = Folder::new(name)?;
         fs::write(folder.path().join("config.json"), config)?;
-        Ok(Sender { listen, program: program.to_owned(), folder, guard: guard.clone(), child: None })
+        let (program, guard, environment) = (program.to_owned(), guard.clone(), Vec::new());
+        Ok(Sender { listen, program, folder, guard, child: None, log_level: "warn", environment })
+    }
+
+    /// Logs everything from the next start on.
+    pub fn log_everything(&mut self) {
+        self.log_level = "debug";
+    }
+
+    /// Loads the fault shim into the process from the next start on. Returns its control.
+    pub fn load_shim(&mut self) -> Result<Control, Error> {
+        let control = Control::create(&self.folder.path().join("control"))?;
+        let shim = shim_beside(&std::path::absolute(&self.program)?)?;
+        self.environment = vec![("LD_PRELOAD", shim), (CONTROL_VARIABLE, control.path().to_owned())];
+        Ok(control)
+    }
+
+    /// Replaces the configuration; the process reads it at its start or with SIGHUP.
+    pub fn write_config(&self, config: &str) -> Result<(), Error> {
+        let (new, path) = (self.folder.path().join("config.new"), self.folder.path().join("config.json"));
+        fs::write(&new, config)?;
+        Ok(fs::rename(new, path)?)
+    }
+
+    /// Where it logs.
+    pub fn log_path(&self) -> PathBuf {
+        self.folder.path().join("log")
+    }
+
+    /// Lines of its log that hold a text.
+    pub fn logged(&self, text: &str) -> Vec<String> {
+        let log = fs::read(self.folder.path().join("log")).unwrap_or_default();
+        let log = String::from_utf8_lossy(&log);
+        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
     }
 
     /// Starts the process.
@@ -104,7 +140,8 @@
         self.guard.admit(FRESH_MEMORY)?;
         let log = File::options().create(true).append(true).open(self.folder.path().join("log"))?;
         let child = Command::new(&self.program)
-            .args(["serve", "--log", "warn"])
+            .args(["serve", "--log", self.log_level])
+            .envs(self.environment.iter().map(|(name, value)| (*name, value)))
             .env("LB_CONFIG", self.folder.path().join("config.json"))
             .env("LB_STATE", self.state())
             .stderr(log)
--- a/crates/scale/src/settings.rs
+++ b/crates/scale/src/settings.rs
@@ -38,12 +38,12 @@
         let class = |event_type: EventType| {
             let effect = match event_type {
                 EventType::Idempotent | EventType::Ordered => "free",
-                EventType::Tokened => "guarded",
+                EventType::Tokened | EventType::TokenedInZone => "guarded",
                 EventType::AtMostOnce => "single_shot",
             };
             json!({
                 "name": event_type.name(), "aim-ms": 2000.0, "deadline-ms": millis(self.ttl),
-                "effect": effect, "group": "all", "late-value": 0.3, "worth": 1.0,
+                "effect": effect, "group": if event_type == EventType::TokenedInZone { "zone" } else { "all" }, "late-value": 0.3, "worth": 1.0,
                 "repeat-window-ms": millis(terms.repeat_window),
                 "fifo-by-key": event_type == EventType::Ordered,
             })
@@ -63,7 +63,9 @@
             "models": ["plain"], "orgs": [],
             "rules": {
                 "cold-from": terms.returns.cold_from, "cold-ms": millis(terms.returns.cold),
-                "fall-multiple": terms.returns.fall_multiple,
+                "fall-multiple": terms.returns.fall_multiple, "tip-after-ms": millis(terms.returns.span),
+                "stop-sending-within-ms": millis(terms.drain_grace),
+                "key-rest-ms": millis(terms.key_rest), "ask-within-ms": 10_000.0,
             },
             "weights": if self.rates_listed { "nominal" } else { "none" },
         });
--- a/crates/scale/src/standins/clients.rs
+++ b/crates/scale/src/standins/clients.rs
@@ -77,10 +77,19 @@
         let began = Instant::now();
         // A sender may close a connection between requests: then it is handed in once more over a new one.
         let kept = self.stream.is_some();
+        let mut sent = self.record.now();
         let mut status = self.exchange(id, ttl);
-        if kept && matches!(&status, Err(e) if e.kind() == ErrorKind::UnexpectedEof) {
+        let ended = |status: &io::Result<u16>| {
+            let ends = [ErrorKind::UnexpectedEof, ErrorKind::ConnectionReset, ErrorKind::BrokenPipe];
+            status.as_ref().is_err_and(|e| ends.contains(&e.kind()))
+        };
+        if kept && ended(&status) {
+            sent = self.record.now();
             status = self.exchange(id, ttl);
         }
+        if ended(&status) {
+            self.record.tell(|judge, now| judge.unanswered(id, sent, now));
+        }
         let heard = match status {
             Ok(200 | 202) => Heard::Taken,
             Ok(429 | 503) => Heard::Refused,
@@ -144,7 +153,7 @@
     let (event_type, dest, size) = (id.event_type.name(), id.dest, body.len());
     let key = match id.event_type {
         EventType::Ordered => format!("Req-Key: k{dest}\r\n"),
-        EventType::Tokened => format!("Idempotency-Key: token-{id}\r\n"),
+        EventType::Tokened | EventType::TokenedInZone => format!("Idempotency-Key: token-{id}\r\n"),
         _ => String::new(),
     };
     let head = format!(
--- a/crates/scale/src/standins/id.rs
+++ b/crates/scale/src/standins/id.rs
@@ -8,21 +8,30 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum EventType {
     Idempotent,
+    /// Every endpoint of the destination knows a repeat.
     Tokened,
+    /// Only the endpoints of one zone know a repeat.
+    TokenedInZone,
     AtMostOnce,
     /// Idempotent, and webhooks with one key go one at a time. The key is the destination.
     Ordered,
 }
 
 impl EventType {
-    pub const ALL: [EventType; 4] =
-        [EventType::Idempotent, EventType::Tokened, EventType::AtMostOnce, EventType::Ordered];
+    pub const ALL: [EventType; 5] = [
+        EventType::Idempotent,
+        EventType::Tokened,
+        EventType::TokenedInZone,
+        EventType::AtMostOnce,
+        EventType::Ordered,
+    ];
 
     /// The name in settings and paths.
     pub fn name(self) -> &'static str {
         match self {
             EventType::Idempotent => "idem",
             EventType::Tokened => "token",
+            EventType::TokenedInZone => "zoned",
             EventType::AtMostOnce => "once",
             EventType::Ordered => "order",
         }
@@ -33,6 +42,7 @@
         match self {
             EventType::Idempotent => "i",
             EventType::Tokened => "t",
+            EventType::TokenedInZone => "z",
             EventType::AtMostOnce => "a",
             EventType::Ordered => "o",
         }
--- a/crates/scale/src/standins/judge/mod.rs
+++ b/crates/scale/src/standins/judge/mod.rs
@@ -1,10 +1,12 @@
 //! The judge of the delivery rules. It sees what clients, receivers and the platform recorded, in their own times, and
 //! nothing of the senders. No I/O: each record is an input.
 
+mod drains;
 mod order;
 mod returns;
 
 use super::id::{EventType, WebhookId};
+use drains::Drains;
 use order::Orders;
 pub use returns::ReturnTerms;
 use returns::Returns;
@@ -30,6 +32,19 @@
     Waits,
     /// A destination that returns from an outage is not pushed over by those that saw it.
     Returns,
+    /// Nothing new goes to an endpoint that drains.
+    Drains,
+    /// A client that stops in the middle of a request gets its error or its end in time.
+    Clients,
+}
+
+/// Where a call came.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Place {
+    /// The endpoint's number.
+    pub endpoint: u32,
+    /// The number of its zone.
+    pub zone: u8,
 }
 
 /// A rule broken.
@@ -38,6 +53,8 @@
     pub rule: Rule,
     /// Seconds since the run began.
     pub at: f64,
+    /// The webhook that it is about, where it is about one.
+    pub id: Option<WebhookId>,
     pub text: String,
 }
 
@@ -52,6 +69,12 @@
     pub repeat_window: f64,
     /// Calls that are on their way when a wait is told get through for so long.
     pub wait_grace: f64,
+    /// Calls that are on their way when a drain is told get through for so long.
+    pub drain_grace: f64,
+    /// An order key rests for so long after an attempt that may still run.
+    pub key_rest: f64,
+    /// A client that stops in the middle of a request gets its error or its end within that.
+    pub client_patience: f64,
     pub returns: ReturnTerms,
 }
 
@@ -62,6 +85,9 @@
             restart_grace: 1.5,
             repeat_window: 8.0,
             wait_grace: 0.1,
+            drain_grace: 0.5,
+            key_rest: 0.3,
+            client_patience: 3.0,
             returns: ReturnTerms::default(),
         }
     }
@@ -71,6 +97,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum CallEnd {
     Delivered,
+    /// Delivered, if the answer arrived.
+    Uncertain,
     /// It may have run.
     Failed,
     /// It has not run; where a wait was told, so long.
@@ -91,14 +119,26 @@
     /// When the call that is out came.
     out: Option<f64>,
     calls: u32,
-    /// When the first call that may have run came.
+    /// When the first call that may have run came, and in which zone.
     ran: Option<f64>,
+    ran_in: u8,
+    /// The zone of the last call.
+    zone: u8,
     delivered: Option<f64>,
     /// The connection ended right after the answer that delivered it.
     crossed: bool,
     noticed: Option<f64>,
 }
 
+impl Track {
+    /// The call that came then may have run.
+    fn may_have_run(&mut self, called: f64) {
+        if self.ran.is_none() {
+            (self.ran, self.ran_in) = (Some(called), self.zone);
+        }
+    }
+}
+
 #[derive(Default)]
 struct Restarts {
     /// Each time the sender went down, and when it was ready again.
@@ -108,6 +148,11 @@
 }
 
 impl Restarts {
+    /// When it was ready last after a restart.
+    fn last_up(&self) -> Option<f64> {
+        self.spans.last().and_then(|(_, up)| *up)
+    }
+
     fn down_within(&self, from: f64, to: f64) -> bool {
         let downs = self.spans.iter().map(|(down, _)| down);
         downs.chain(&self.ends).any(|down| (from..=to).contains(down))
@@ -148,6 +193,8 @@
     waits: HashMap<(u16, u32), (f64, f64)>,
     orders: Orders,
     returns: Returns,
+    drains: Drains,
+    crowds: Vec<(u16, f64, f64)>,
     told: Vec<Breach>,
     breaches: u64,
 }
@@ -162,15 +209,17 @@
             waits: HashMap::new(),
             orders: Orders::default(),
             returns,
+            drains: Drains::default(),
+            crowds: Vec::new(),
             told: Vec::new(),
             breaches: 0,
         }
     }
 
-    fn breaks(&mut self, rule: Rule, at: f64, text: String) {
+    fn breaks(&mut self, rule: Rule, at: f64, id: Option<WebhookId>, text: String) {
         self.breaches += 1;
         if self.told.iter().filter(|b| b.rule == rule).count() < MOST_TOLD {
-            self.told.push(Breach { rule, at, text });
+            self.told.push(Breach { rule, at, id, text });
         }
     }
 
@@ -182,6 +231,8 @@
             out: None,
             calls: 0,
             ran: None,
+            ran_in: 0,
+            zone: 0,
             delivered: None,
             crossed: false,
             noticed: None,
@@ -201,18 +252,18 @@
         let Some(track) = self.tracks.get_mut(&id) else { return };
         track.heard = Heard::Refused;
         if track.calls > 0 {
-            self.breaks(Rule::Lost, at, format!("{id} was refused and had been sent"));
+            self.breaks(Rule::Lost, at, Some(id), format!("{id} was refused and had been sent"));
         }
     }
 
     /// A call came whole at its receiver.
-    pub fn called(&mut self, id: WebhookId, at: f64) {
+    pub fn called(&mut self, id: WebhookId, place: Place, at: f64) {
         let window = self.terms.repeat_window;
         let unread = |restarts: &HashMap<u16, Restarts>, since: f64| {
             restarts.get(&id.sender).is_some_and(|r| r.down_within(since, since + UNREAD))
         };
         let Some(track) = self.tracks.get_mut(&id) else {
-            return self.breaks(Rule::Lost, at, format!("{id} was sent and nobody handed it in"));
+            return self.breaks(Rule::Lost, at, Some(id), format!("{id} was sent and nobody handed it in"));
         };
         let mut found = Vec::new();
         if track.heard == Heard::Refused {
@@ -233,26 +284,35 @@
             (EventType::AtMostOnce, Some(_)) => {
                 found.push((Rule::Twice, "may have run, and was sent again".to_owned()));
             }
-            (EventType::Tokened, Some(ran)) if at > ran + window => {
-                found.push((Rule::Twice, "was sent again when its key was forgotten".to_owned()));
+            (EventType::Tokened | EventType::TokenedInZone, Some(ran)) if at > ran + window => {
+                let late = at - ran - window;
+                found.push((Rule::Twice, format!("was sent again {late:.3} s after its key was forgotten")));
+            }
+            (EventType::TokenedInZone, Some(_)) if place.zone != track.ran_in => {
+                found.push((Rule::Twice, "was sent again to another zone".to_owned()));
             }
             _ => {}
         }
         track.out = Some(at);
+        track.zone = place.zone;
         track.calls += 1;
         if let Some((told, until)) = self.waits.get(&(id.sender, id.dest))
             && (told + self.terms.wait_grace..*until).contains(&at)
         {
             found.push((Rule::Waits, format!("was sent {:.3} s before its wait was over", until - at)));
         }
+        let up = self.restarts.get(&id.sender).and_then(Restarts::last_up);
+        if let Some(late) = self.drains.called(id.sender, place.endpoint, up, at, self.terms.drain_grace) {
+            found.push((Rule::Drains, format!("was sent {late:.3} s after the grace of a drain")));
+        }
         if id.event_type == EventType::Ordered {
             found.extend(self.orders.called(id, at).map(|text| (Rule::Order, text)));
         }
         for (rule, text) in found {
-            self.breaks(rule, at, format!("{id} {text}"));
+            self.breaks(rule, at, Some(id), format!("{id} {text}"));
         }
         if let Some(text) = self.returns.called(id, at) {
-            self.breaks(Rule::Returns, at, text);
+            self.breaks(Rule::Returns, at, Some(id), text);
         }
     }
 
@@ -269,11 +329,12 @@
                 }
             }
             CallEnd::Failed => {
-                track.ran.get_or_insert(called);
+                track.may_have_run(called);
                 self.returns.saw(id, at);
             }
-            CallEnd::Delivered => {
-                track.ran.get_or_insert(called);
+            CallEnd::Delivered | CallEnd::Uncertain => {
+                track.crossed |= end == CallEnd::Uncertain;
+                track.may_have_run(called);
                 track.delivered.get_or_insert(at);
             }
         }
@@ -285,7 +346,7 @@
         let Some(track) = self.tracks.get_mut(&id) else { return };
         track.crossed |= track.delivered.is_some_and(|delivered| at < delivered + CROSSING);
         if let Some(called) = track.out.take() {
-            track.ran.get_or_insert(called);
+            track.may_have_run(called);
             self.returns.saw(id, at);
         }
     }
@@ -293,7 +354,12 @@
     /// The platform was told that a webhook is given up.
     pub fn noticed(&mut self, id: WebhookId, at: f64) {
         let Some(track) = self.tracks.get_mut(&id) else {
-            return self.breaks(Rule::Lost, at, format!("{id} was given up and nobody handed it in"));
+            return self.breaks(
+                Rule::Lost,
+                at,
+                Some(id),
+                format!("{id} was given up and nobody handed it in"),
+            );
         };
         // Told again because the acknowledgement did not arrive: the first counts.
         if track.noticed.is_some() {
@@ -306,14 +372,62 @@
         let crossed = crossed || delivered.is_some_and(|d| restarts.down_within(d, d + UNREAD));
         let in_time = delivered.is_some_and(|d| d < deadline - EDGE);
         if in_time && !crossed {
-            self.breaks(Rule::Lost, at, format!("{id} was delivered and given up"));
+            self.breaks(Rule::Lost, at, Some(id), format!("{id} was delivered and given up"));
         } else if at > due && !in_time {
-            self.breaks(Rule::Lost, at, format!("{id} was given up {:.3} s late", at - due));
+            self.breaks(Rule::Lost, at, Some(id), format!("{id} was given up {:.3} s late", at - due));
         }
         if id.event_type == EventType::Ordered
             && let Some(text) = self.orders.given_up(id, at)
         {
-            self.breaks(Rule::Order, at, format!("{id} {text}"));
+            self.breaks(Rule::Order, at, Some(id), format!("{id} {text}"));
+        }
+    }
+
+    /// A version of the list names an endpoint that drains from then on.
+    pub fn drain_listed(&mut self, endpoint: u32, version: u64) {
+        self.drains.listed(endpoint, version);
+    }
+
+    /// The endpoint does not drain any more.
+    pub fn drain_ended(&mut self, endpoint: u32) {
+        self.drains.ended(endpoint);
+    }
+
+    /// A sender was written a version of the list.
+    pub fn list_told(&mut self, sender: u16, version: u64, at: f64) {
+        self.drains.told(sender, version, at);
+    }
+
+    /// A client's request came whole over a new connection, which ended at `ended` without an answer.
+    pub fn unanswered(&mut self, id: WebhookId, sent: f64, ended: f64) {
+        let restarts = self.restarts.get(&id.sender);
+        let crowded =
+            |(own, from, to): &(u16, f64, f64)| *own == id.sender && *from < ended && sent < *to + UNREAD;
+        // Whose process ended then has answered nobody.
+        if !self.crowds.iter().any(crowded)
+            && !restarts.is_some_and(|r| r.down_within(sent - UNREAD, ended + CROSSING))
+        {
+            self.breaks(
+                Rule::Lost,
+                ended,
+                Some(id),
+                format!("{id} came on a new connection, which ended unanswered"),
+            );
+        }
+    }
+
+    /// Idle clients fill a sender's descriptors: meanwhile it may end new connections unread.
+    pub fn crowded(&mut self, sender: u16, from: f64, to: f64) {
+        self.crowds.push((sender, from, to));
+    }
+
+    /// A client stopped in the middle of a request and got no error and no end until now.
+    pub fn left_waiting(&mut self, sender: u16, since: f64, now: f64) {
+        let ended = self.restarts.get(&sender).is_some_and(|r| r.down_within(since, now));
+        let waited = now - since;
+        if !ended && waited > self.terms.client_patience {
+            let text = format!("a client of sender {sender} that stopped got nothing in {waited:.1} s");
+            self.breaks(Rule::Clients, now, None, text);
         }
     }
 
@@ -376,7 +490,7 @@
         }
         lost.sort_unstable();
         for id in lost {
-            self.breaks(Rule::Lost, now, format!("{id} was taken on and has no final answer"));
+            self.breaks(Rule::Lost, now, Some(id), format!("{id} was taken on and has no final answer"));
         }
         counts.breaches = self.breaches;
         (counts, std::mem::take(&mut self.told))
--- a/crates/scale/src/standins/list_service.rs
+++ b/crates/scale/src/standins/list_service.rs
@@ -79,6 +79,8 @@
     changed_at: HashMap<u64, Instant>,
     watches: HashMap<Connection, Watch>,
     traffic: HashMap<u16, Traffic>,
+    /// It takes no part in anything but notices: calls for the list get no answer.
+    silent: bool,
     /// Seconds from a change until a sender asked for what came after it.
     taken_in: Vec<f64>,
 }
@@ -96,10 +98,19 @@
             changed_at: HashMap::new(),
             watches: HashMap::new(),
             traffic: HashMap::new(),
+            silent: false,
             taken_in: Vec::new(),
         }
     }
 
+    /// Falls silent towards all who ask for the list, those who watch among them, or answers new calls again.
+    pub fn set_silent(&mut self, silent: bool) {
+        self.silent = silent;
+        if silent {
+            self.watches.clear();
+        }
+    }
+
     /// Lists lines anew, all in one version, and tells all who watch.
     pub fn change(&mut self, lines: Vec<Endpoint>, replies: &mut Replies) {
         self.seq += 1;
@@ -169,6 +180,8 @@
 
     fn write(&mut self, sender: u16, to: Connection, bytes: Vec<u8>, replies: &mut Replies) {
         self.traffic.entry(sender).or_default().list_bytes += bytes.len() as u64;
+        let version = self.seq;
+        self.record.tell(|judge, now| judge.list_told(sender, version, now));
         replies.send(to, bytes);
     }
 
@@ -236,6 +249,9 @@
             let status = if self.notice(&request.body) { 204 } else { 400 };
             return replies.send(from, answer(status, "", ""));
         }
+        if self.silent {
+            return;
+        }
         let traffic = self.traffic.entry(sender).or_default();
         traffic.list_calls += 1;
         let Some(since) = query(&request.target, "since") else {
--- a/crates/scale/src/standins/receivers.rs
+++ b/crates/scale/src/standins/receivers.rs
@@ -1,7 +1,7 @@
 //! The destinations' receivers: they answer calls as they are told to and tell the judge what they see.
 
 use super::id::WebhookId;
-use super::judge::{CallEnd, Judge};
+use super::judge::{CallEnd, Judge, Place};
 use super::message::{Request, answer};
 use super::server::{Connection, Replies, Service};
 use std::collections::HashMap;
@@ -49,12 +49,38 @@
     Silent,
     /// The connection ends without an answer.
     HangUp,
+    /// With 200, and then the connection ends, though it was to be kept.
+    ServeAndEnd,
+    /// With the first half of an error's first line, and then the connection ends.
+    Half,
+    /// With what is no answer.
+    Noise,
+}
+
+/// What becomes of answers on their way to the sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Way {
+    /// They arrive.
+    #[default]
+    Open,
+    /// They may arrive or not.
+    Uncertain,
+    /// They do not arrive.
+    Lossy,
+}
+
+/// What is known of an endpoint by its address.
+struct EndpointRole {
+    place: Place,
+    behaviour: Option<Behaviour>,
+    way: Way,
 }
 
 /// What a connection carries.
 struct Carried {
     id: WebhookId,
     out: bool,
+    at: SocketAddr,
 }
 
 /// All receivers of a run. A call's destination is known by the webhook's id.
@@ -62,6 +88,7 @@
     record: Record,
     usual: Behaviour,
     apart: HashMap<u32, Behaviour>,
+    endpoints: HashMap<SocketAddr, EndpointRole>,
     carried: HashMap<Connection, Carried>,
     calls: u64,
     calls_to: HashMap<u32, u64>,
@@ -70,7 +97,26 @@
 impl Receivers {
     pub fn new(record: Record, usual: Behaviour) -> Self {
         let (apart, carried, calls_to) = (HashMap::new(), HashMap::new(), HashMap::new());
-        Receivers { record, usual, apart, carried, calls: 0, calls_to }
+        Receivers { record, usual, apart, endpoints: HashMap::new(), carried, calls: 0, calls_to }
+    }
+
+    /// Tells which endpoint is at an address; elsewhere all are one.
+    pub fn set_endpoint(&mut self, at: SocketAddr, place: Place) {
+        self.endpoints.insert(at, EndpointRole { place, behaviour: None, way: Way::Open });
+    }
+
+    /// What the endpoint at an address does, before what its destination does; `None` for that.
+    pub fn set_at(&mut self, at: SocketAddr, behaviour: Option<Behaviour>) {
+        if let Some(role) = self.endpoints.get_mut(&at) {
+            role.behaviour = behaviour;
+        }
+    }
+
+    /// What becomes of the answers of the endpoint at an address.
+    pub fn set_way(&mut self, at: SocketAddr, way: Way) {
+        if let Some(role) = self.endpoints.get_mut(&at) {
+            role.way = way;
+        }
     }
 
     /// What all destinations do that are not told otherwise.
@@ -110,22 +156,29 @@
     fn end(&mut self, from: Connection, end: CallEnd) {
         let Some(carried) = self.carried.get_mut(&from).filter(|c| c.out) else { return };
         carried.out = false;
-        let id = carried.id;
+        let (id, at) = (carried.id, carried.at);
+        let end = match self.endpoints.get(&at).map(|role| role.way).unwrap_or_default() {
+            Way::Open => end,
+            Way::Uncertain if end == CallEnd::Delivered => CallEnd::Uncertain,
+            Way::Uncertain | Way::Lossy => CallEnd::Failed,
+        };
         self.record.tell(|judge, now| judge.answered(id, now, end));
     }
 }
 
 impl Service for Receivers {
-    fn request(&mut self, from: Connection, _at: SocketAddr, request: Request, replies: &mut Replies) {
+    fn request(&mut self, from: Connection, at: SocketAddr, request: Request, replies: &mut Replies) {
         let id = request.header("req-id").and_then(|id| id.parse::<WebhookId>().ok());
         let Some(id) = id.filter(|_| request.method == "POST" && request.target == "/inbox") else {
             return replies.send(from, answer(400, "", ""));
         };
         self.calls += 1;
         *self.calls_to.entry(id.dest).or_default() += 1;
-        self.record.tell(|judge, now| judge.called(id, now));
-        self.carried.insert(from, Carried { id, out: true });
-        let (bytes, end) = match self.apart.get(&id.dest).copied().unwrap_or(self.usual) {
+        let role = self.endpoints.get(&at);
+        let (place, own) = role.map_or((Place::default(), None), |role| (role.place, role.behaviour));
+        self.record.tell(|judge, now| judge.called(id, place, now));
+        self.carried.insert(from, Carried { id, out: true, at });
+        let (bytes, end) = match own.or(self.apart.get(&id.dest).copied()).unwrap_or(self.usual) {
             Behaviour::Serve(pause) if !pause.is_zero() => {
                 return replies.send_at(Instant::now() + pause, from, answer(200, "", ""));
             }
@@ -137,6 +190,17 @@
             Behaviour::Fail => (answer(500, "", ""), CallEnd::Failed),
             Behaviour::Silent => return,
             Behaviour::HangUp => return replies.end(from),
+            Behaviour::ServeAndEnd => {
+                self.end(from, CallEnd::Delivered);
+                replies.send(from, answer(200, "", ""));
+                return replies.end(from);
+            }
+            Behaviour::Half => {
+                self.end(from, CallEnd::Failed);
+                replies.send(from, b"HTTP/1.1 5".to_vec());
+                return replies.end(from);
+            }
+            Behaviour::Noise => (b"\x00\xffno answer\r\n\r\n".to_vec(), CallEnd::Failed),
         };
         self.end(from, end);
         replies.send(from, bytes);
--- a/crates/scale/src/verbs/restarts.rs
+++ b/crates/scale/src/verbs/restarts.rs
@@ -1,6 +1,7 @@
 //! The verb `restarts`: senders are killed or told to end, under load and with a backlog, and started again on their
 //! folders. Each webhook that was taken on has to get one final answer.
 
+use crate::draws::Draws;
 use crate::error::Error;
 use crate::fleet::{Fleet, Plan};
 use crate::guard::{Guard, Limits};
@@ -58,16 +59,6 @@
     pub seed: u64,
 }
 
-/// Numbers from 0 to 1, drawn one after another: a linear congruential generator with Knuth's figures.
-struct Draws(u64);
-
-impl Draws {
-    fn next(&mut self) -> f64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 11) as f64 / (1_u64 << 53) as f64
-    }
-}
-
 /// Plays it and prints times and counts; an error where a rule is broken.
 pub fn run(options: &Options, stop: &Stop) -> Result<(), Error> {
     let guard = Guard::start(Limits::default(), stop)?;
@@ -110,10 +101,10 @@
 /// Restarts the senders in turn. Returns the times until each was ready, and until each that was told to end had.
 fn play(fleet: &mut Fleet, options: &Options) -> Result<(Vec<f64>, Vec<f64>), Error> {
     let (mut ready, mut ended) = (Vec::new(), Vec::new());
-    let mut draws = Draws(options.seed);
+    let mut draws = Draws::new(options.seed);
     let bar = progress(options.restarts, "restarts");
     for restart in 0..options.restarts {
-        let pause = PAUSE.0 + (PAUSE.1 - PAUSE.0) * draws.next();
+        let pause = PAUSE.0 + (PAUSE.1 - PAUSE.0) * draws.part();
         fleet.guard.stop().sleep(Duration::from_secs_f64(pause));
         fleet.guard.check()?;
         let me = (restart % options.senders as u64) as u16;
--- a/crates/scale/tests/judge.rs
+++ b/crates/scale/tests/judge.rs
@@ -1,7 +1,7 @@
 //! The judge of the rules: what keeps each, and what breaks it.
 
 use scalebarrow_scale::standins::id::{EventType, WebhookId};
-use scalebarrow_scale::standins::judge::{CallEnd, Judge, Rule, Terms};
+use scalebarrow_scale::standins::judge::{CallEnd, Judge, Place, Rule, Terms};
 
 /// One record, as the stand-ins tell it.
 #[derive(Debug, Clone, Copy)]
@@ -46,7 +46,7 @@
                 judge.handed_in(id, at, TTL);
                 judge.refused(id, at);
             }
-            Called(id) => judge.called(id, at),
+            Called(id) => judge.called(id, Place::default(), at),
             Answered(id, how) => judge.answered(id, at, how),
             Ended(id) => judge.connection_ended(id, at),
             Noticed(id) => judge.noticed(id, at),
