A destination where calls fail in any way for two seconds and none goes well is out

Change: for each scope the first failure since the last good answer and their number are kept, however calls ended; three of them over more than two seconds are an outage, and calls come in turns. A few resets between good answers still make none. Tests: two rows in decisions.rs, each failed before (8 and 5 calls at once, 3 allowed).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,6 +26,10 @@
 /// A repeat goes out so long before its window is over.
 const REPEAT_MARGIN: f64 = HOLD_UP + TRAVEL;
 
+/// A destination where so many calls failed, over so many seconds, and none went well is out.
+const OUTAGE_CALLS: u32 = 3;
+const OUTAGE_SPAN: f64 = 2.0;
+
 struct Rule {
     name: &'static str,
     when: fn(&Logic) -> Option<Pick>,
@@ -279,6 +283,7 @@
     ) {
         self.now = now;
         let full = self.end_call(id, ep, outcome, took, report);
+        self.watch_for_outage(ep, outcome);
         let Some(w) = self.webhooks.get_mut(&id) else { return };
         if w.out.take().is_none() {
             return;
@@ -663,6 +668,25 @@
         here().map(|r| r.bad_row).sum::<u32>() >= enough && !here().any(fine)
     }
 
+    /// Calls were made for a while and none went well, however they ended: an outage.
+    fn watch_for_outage(&mut self, ep: &str, outcome: Outcome) {
+        let Some((ep, r)) = self.routes.get_key_value(ep) else { return };
+        let (scope, now) = (Self::scope(ep, r), self.now);
+        let m = self.meters.entry(scope.clone()).or_default();
+        match outcome {
+            Outcome::Delivered => return m.failing = None,
+            Outcome::Moot(_) => return,
+            _ => {}
+        }
+        let (since, count) = m.failing.map_or((now, 1), |(since, count)| (since, count + 1));
+        m.failing = Some((since, count));
+        let known = self.routes_of(&scope).all(|(_, r)| r.outage && r.back.is_none());
+        if count >= OUTAGE_CALLS && now - since > OUTAGE_SPAN && !known {
+            self.mark_outage(&scope, since);
+            self.come_in_turn(&scope, false);
+        }
+    }
+
     /// An outage was seen: routes of its scope where no call sent after `since` went well come back cold.
     fn mark_outage(&mut self, scope: &Scope, since: f64) {
         let all = || self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice);
--- a/src/state.rs
+++ b/src/state.rs
@@ -151,6 +151,8 @@
     pub cold_due: f64,
     /// When a call was last delivered there.
     pub well_at: Option<f64>,
+    /// When the first call since then failed, in whatever way, and how many have.
+    pub failing: Option<(f64, u32)>,
 }
 
 /// What a destination takes after an outage: `from` of its capacity, all of it after `warm` seconds. It falls over when
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -337,6 +337,21 @@
             "0 list a:z:plain:6\n0 hand 1 idem\n0.1 end 1 a ok\n1 hand 2 idem\n1.1 end 2 a reset\n2 end 2 a reset\n3 end 2 a reset\n4.5 end 2 a ok\n5 hand 3 idem\n5.1 end 3 a ok\n6 hand 4 idem\n6.1 pass",
             &[Sends(1.0, 4.5, 4..=4), Sends(5.0, 5.1, 1..=1), Sends(6.0, 6.1, 1..=1)],
         ),
+        (
+            // Calls that ended without an answer were no sign of an outage, whatever their number: all that was held went
+            // out at once when the destination answered again.
+            "a destination where every connection ends for two seconds is out: what returns takes turns",
+            ONE,
+            "0 list a:z:plain:6\n0 hand 1 idem\n0.5 end 1 a reset\n1.5 end 1 a reset\n2 end 1 a reset\n2.7 end 1 a reset\n5.9 end 1 a ok\n6 hand 2 idem\n6 hand 3 idem\n6 hand 4 idem\n6 hand 5 idem\n6 hand 6 idem\n6 hand 7 idem\n6 hand 8 idem\n6 hand 9 idem\n7 pass",
+            &[Sends(5.95, 7.0, 0..=3)],
+        ),
+        (
+            // Refusals by two endpoints in turn put each aside and made no row.
+            "a destination whose endpoints refuse in turn for two seconds is out as well",
+            ONE,
+            "0 list a:z:plain:6 b:z:plain:6\n0 hand 1 idem\n0.1 end 1 a full\n0.1 end 1 b full\n1 pass\n1.1 end 1 a full\n1.1 end 1 b full\n2 pass\n2.4 end 1 a full\n2.4 end 1 b full\n3 pass\n3.1 end 1 a full\n3.1 end 1 b full\n6 pass\n6.1 end 1 a ok\n6.1 end 1 b ok\n6.2 hand 2 idem\n6.2 hand 3 idem\n6.2 hand 4 idem\n6.2 hand 5 idem\n6.2 hand 6 idem\n6.2 hand 7 idem\n6.2 hand 8 idem\n7.2 pass",
+            &[Sends(6.15, 7.2, 0..=3)],
+        ),
         (
             // Endpoints are replaced all day: those that left once counted for a minute and throttled the others.
             "endpoints that left have no part in what a returning destination takes",
