--- a/crates/scale/src/standins/judge/mod.rs
+++ b/crates/scale/src/standins/judge/mod.rs
@@ -441,6 +441,8 @@
     /// Its process has ended, at once or some time after it was told to.
     pub fn sender_ended(&mut self, sender: u16, at: f64) {
         self.restarts.entry(sender).or_default().ends.push(at);
+        // A restart ends the waits, those that were told after it was told to end among them.
+        self.waits.retain(|(told, _), _| *told != sender);
     }
 
     /// It is ready again.
--- a/crates/scale/tests/judge.rs
+++ b/crates/scale/tests/judge.rs
@@ -17,12 +17,29 @@
     Noticed(WebhookId),
     Down(u16),
     Up(u16),
+    /// Its process has ended, some time after it was told to.
+    Over(u16),
+    /// A call at an endpoint.
+    CalledAt(WebhookId, Place),
+    /// Version 2 of the list says that endpoint 7 drains, or later that it does not.
+    Drains(bool),
+    /// A sender is written that version.
+    Told(u16),
+    /// A request of this age came on a new connection that ended without an answer.
+    Unanswered(WebhookId, f64),
+    /// A client that stopped in the middle of a request so long ago got nothing.
+    Stopped(u16, f64),
+    /// Idle clients fill the descriptors of a sender for ten seconds.
+    Crowded(u16),
     /// Destination 1, which takes ten a second, goes out or is back.
     Out,
     Back,
 }
 use CallEnd::{Delivered, Failed};
-use Seen::{Answered, Back, Called, Down, Ended, Noticed, Out, Refused, Taken, Unheard, Up};
+use Seen::{
+    Answered, Back, Called, CalledAt, Crowded, Down, Drains, Ended, Noticed, Out, Over, Refused, Stopped,
+    Taken, Told, Unanswered, Unheard, Up,
+};
 
 const TTL: f64 = 10.0;
 const RATE: f64 = 10.0;
@@ -52,6 +69,14 @@
             Noticed(id) => judge.noticed(id, at),
             Down(sender) => judge.sender_down(sender, at),
             Up(sender) => judge.sender_up(sender, at),
+            Over(sender) => judge.sender_ended(sender, at),
+            CalledAt(id, place) => judge.called(id, place, at),
+            Drains(true) => judge.drain_listed(7, 2),
+            Drains(false) => judge.drain_ended(7),
+            Told(sender) => judge.list_told(sender, 2, at),
+            Unanswered(id, age) => judge.unanswered(id, at - age, at),
+            Stopped(sender, ago) => judge.left_waiting(sender, at - ago, at),
+            Crowded(sender) => judge.crowded(sender, at, at + 10.0),
             Out => judge.outage_began(1, at, RATE),
             Back => judge.outage_ended(1, at),
         }
@@ -332,6 +357,106 @@
         ("another destination", &story(&[(1.1, Taken(elsewhere)), (1.5, Called(elsewhere))]), 5.0, &[]),
         ("another sender", &story(&[(1.1, Taken(others)), (1.5, Called(others))]), 5.0, &[]),
         ("after a restart", &story(&[(1.1, Down(3)), (1.2, Up(3)), (1.5, Called(two))]), 5.0, &[]),
+        (
+            "told while the process was ending",
+            &[&[(0.5, Down(3))], &told[..], &[(1.1, Over(3)), (1.2, Up(3)), (1.5, Called(two))]].concat(),
+            5.0,
+            &[],
+        ),
+    ]);
+}
+
+#[test]
+fn a_key_that_one_zone_knows_is_repeated_there_alone() {
+    let one = id(EventType::TokenedInZone, 1);
+    let [north, south] = [0, 1].map(|zone| Place { endpoint: u32::from(zone), zone });
+    let story = |end: Seen, again: f64, place: Place| {
+        [
+            (0.0, Taken(one)),
+            (1.0, CalledAt(one, north)),
+            (1.2, end),
+            (again, CalledAt(one, place)),
+            (9.0, Noticed(one)),
+        ]
+    };
+    let lost = Ended(one);
+    check(&[
+        ("in its zone and window", &story(lost, 8.9, north), 12.0, &[]),
+        ("in its zone, too late", &story(lost, 9.1, north), 12.0, &[Rule::Twice]),
+        ("in another zone", &story(lost, 2.0, south), 12.0, &[Rule::Twice]),
+        ("in another zone, as it never ran", &story(Answered(one, TURNED_AWAY), 2.0, south), 12.0, &[]),
+    ]);
+}
+
+#[test]
+fn drains_are_kept() {
+    let one = id(EventType::Idempotent, 1);
+    let there = CalledAt(one, Place { endpoint: 7, zone: 0 });
+    let elsewhere = CalledAt(one, Place { endpoint: 6, zone: 0 });
+    let story = |rest: &[(f64, Seen)]| {
+        [&[(0.0, Taken(one)), (1.0, Drains(true))], rest, &[(9.0, Noticed(one))]].concat()
+    };
+    check(&[
+        ("within the grace", &story(&[(1.0, Told(3)), (1.45, there)]), 12.0, &[]),
+        ("after it", &story(&[(1.0, Told(3)), (1.6, there)]), 12.0, &[Rule::Drains]),
+        ("not told yet", &story(&[(3.0, there)]), 12.0, &[]),
+        ("told to another sender", &story(&[(1.0, Told(4)), (3.0, there)]), 12.0, &[]),
+        ("another endpoint", &story(&[(1.0, Told(3)), (3.0, elsewhere)]), 12.0, &[]),
+        ("after its end", &story(&[(1.0, Told(3)), (2.0, Drains(false)), (3.0, there)]), 12.0, &[]),
+        // What the list tells counts for a new process from its start on.
+        (
+            "a new process in its grace",
+            &story(&[(1.0, Told(3)), (1.1, Down(3)), (2.0, Up(3)), (2.4, there)]),
+            12.0,
+            &[],
+        ),
+        (
+            "a new process after it",
+            &story(&[(1.0, Told(3)), (1.1, Down(3)), (2.0, Up(3)), (2.6, there)]),
+            12.0,
+            &[Rule::Drains],
+        ),
+    ]);
+}
+
+#[test]
+fn clients_are_answered() {
+    let one = id(EventType::Idempotent, 1);
+    let lost = [Rule::Lost];
+    check(&[
+        ("a request on a new connection", &[(0.0, Unheard(one)), (0.1, Unanswered(one, 0.1))], 12.0, &lost),
+        // A process that was killed then has answered nobody.
+        ("at a kill", &[(0.0, Unheard(one)), (0.1, Down(3)), (0.15, Unanswered(one, 0.15))], 12.0, &[]),
+        (
+            "long after one",
+            &[(0.0, Down(3)), (0.5, Up(3)), (3.0, Unheard(one)), (3.1, Unanswered(one, 0.1))],
+            12.0,
+            &lost,
+        ),
+        ("in a crowd", &[(0.0, Crowded(3)), (1.0, Unheard(one)), (1.1, Unanswered(one, 0.1))], 12.0, &[]),
+        ("who stopped and waits", &[(5.0, Stopped(3, 2.9))], 12.0, &[]),
+        ("who stopped and waits too long", &[(5.0, Stopped(3, 3.2))], 12.0, &[Rule::Clients]),
+        ("whose sender was killed", &[(4.0, Down(3)), (5.0, Stopped(3, 3.2))], 12.0, &[]),
+    ]);
+}
+
+#[test]
+fn an_answer_that_may_have_been_lost_on_its_way_allows_both() {
+    let one = id(EventType::Idempotent, 1);
+    let story = |how: CallEnd, rest: &[(f64, Seen)]| {
+        [&[(0.0, Taken(one)), (1.0, Called(one)), (1.1, Answered(one, how))], rest].concat()
+    };
+    check(&[
+        ("uncertain, and nothing more", &story(CallEnd::Uncertain, &[]), 12.0, &[]),
+        (
+            "uncertain, and sent again",
+            &story(CallEnd::Uncertain, &[(2.0, Called(one)), (2.1, Answered(one, Delivered))]),
+            12.0,
+            &[],
+        ),
+        ("uncertain, and given up", &story(CallEnd::Uncertain, &[(9.0, Noticed(one))]), 12.0, &[]),
+        ("delivered, and given up", &story(Delivered, &[(9.0, Noticed(one))]), 12.0, &[Rule::Lost]),
+        ("delivered, and sent again", &story(Delivered, &[(2.0, Called(one))]), 12.0, &[Rule::Lost]),
     ]);
 }
 
