--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -5,6 +5,7 @@
 use crate::clients::{HandIn, Reply};
 use crate::clock;
 use crate::config::Config;
+use crate::counters::{Counters, Transition};
 use crate::endpoints::{self, Answer, Call, CalledWebhook, Ending, Load};
 use crate::journal::{End, Journal, Tries, Webhook, key_hash};
 use crate::list::{Health, News};
@@ -99,12 +100,29 @@
     first.map_or_else(|| "none".to_owned(), |(zone, at)| format!("{zone} {:.3} s ago", now - at))
 }
 
+/// Logs what a start found: how many webhooks of each kind, and the age of the oldest attempt, by the folder's clock.
+fn log_found(journal: &Journal, found: &[Resumable], now: f64) {
+    let (mut tried, mut may_have_run, mut oldest) = (0, 0, 0.0_f64);
+    for webhook in found {
+        let tries = journal.tries(webhook.number);
+        tried += usize::from(tries.count > 0);
+        if let Some((_, at)) = tries.ran.as_ref().or(tries.out.as_ref()) {
+            may_have_run += 1;
+            oldest = oldest.max(now - at);
+        }
+    }
+    let over = found.iter().filter(|webhook| webhook.ends_at <= now).count();
+    let (open, owed, same_boot) = (found.len(), journal.all_owed().len(), journal.is_same_boot());
+    info!(code = "found", open, tried, may_have_run, over, owed, oldest, same_boot, "in the folder");
+}
+
 pub struct Bridge {
     sender: Sender,
     asked: Asked,
     journal: Journal,
     pub notices: Notices,
     withheld: Withheld,
+    pub counters: Counters,
     places: BTreeMap<String, Place>,
     /// What a start found and the module does not know yet, and until when that rests.
     backlog: Backlog,
@@ -124,12 +142,15 @@
     /// The module as the journal left it, but for what is still open: that goes back to it with [`Bridge::step`]. What is
     /// owed is due again.
     pub fn open(config: Config, mut journal: Journal, now: f64) -> Self {
-        let backlog = journal.take_resumable().into_iter().collect();
+        let found = journal.take_resumable();
+        log_found(&journal, &found, now);
+        let backlog = found.into_iter().collect();
         let mut bridge = Bridge {
             sender: config.open(now),
             asked: Asked::default(),
             notices: Notices::new(),
             withheld: Withheld::default(),
+            counters: Counters::new(now),
             places: BTreeMap::new(),
             backlog,
             resumes_at: None,
@@ -152,6 +173,7 @@
     /// A bounded part of what can be done between turns: the journal is compacted, and what a start found goes back to
     /// the module.
     pub fn step(&mut self, now: f64) {
+        self.counters.log_due(now, self.journal.open_count(), self.notices.len());
         if let Err(e) = self.journal.step() {
             warn!(code = "journal-write", %e, "the journal cannot be compacted");
         }
@@ -199,6 +221,7 @@
                 return self.asked.actions.push(Action::Wake(READ_PAUSE));
             }
         };
+        self.counters.count(Transition::Resumed);
         let tries = self.journal.tries(number);
         let (out, first, left) = (tries.out.is_some(), told(&tries, now), webhook.ends_at - now);
         info!(
@@ -268,6 +291,8 @@
         if let Some(webhook) = webhook {
             if end != End::Over {
                 let (id, dest, left) = (&webhook.id, webhook.dest, webhook.ends_at - now);
+                let dead = end == End::DeadLettered;
+                self.counters.count(if dead { Transition::DeadLettered } else { Transition::Returned });
                 info!(code = "given-up", id, dest, ?end, tries, left, "a final answer is owed");
             }
             self.remember(webhook.id.clone());
@@ -276,6 +301,7 @@
             End::Over => {}
             _ if written.is_ok() || ends_at <= now + TOO_LATE => self.notices.push(number),
             _ => {
+                self.counters.count(Transition::Withheld);
                 self.withheld.add(now, number, ends_at);
                 self.asked.actions.push(Action::Wake(RETRY_PAUSE));
             }
@@ -287,6 +313,7 @@
         // Handed in once more because its connection closed under it, or by somebody else: it is taken on already, and
         // what was taken on stays as it is, whether it is open or just over.
         if self.recent.contains(&from.id) || self.journal.find(&from.id).is_some() {
+            self.counters.count(Transition::Known);
             debug!(code = "known", id = from.id, "handed in again: it is taken on already");
             return (Reply::Taken, None);
         }
@@ -296,6 +323,7 @@
         // As long as the module does not know all that is held, it cannot judge whether there are too many.
         let too_many = !self.backlog.is_empty() && self.journal.open_count() >= self.config.size().1;
         if too_many || !self.journal.has_room(&webhook) {
+            self.counters.count(Transition::NoRoom);
             return (Reply::NoRoom, None);
         }
         let number = self.next;
@@ -310,13 +338,18 @@
         let taken = at_once.is_none().then(|| self.journal.take(number, webhook));
         self.settle(now);
         match (at_once, taken) {
-            (Some(End::Rejected(come_back)), _) => (Reply::Rejected(come_back), None),
+            (Some(End::Rejected(come_back)), _) => {
+                self.counters.count(Transition::Rejected);
+                (Reply::Rejected(come_back), None)
+            }
             (Some(_), _) | (None, None) => (Reply::Status(500), None),
             (None, Some(Ok(()))) => {
+                self.counters.count(Transition::Taken);
                 debug!(code = "taken", id, number, dest, left, "a webhook is taken on");
                 (Reply::Taken, Some(number))
             }
             (None, Some(Err(e))) => {
+                self.counters.count(Transition::NoRoom);
                 error!(code = "journal-write", %e, "a webhook could not be taken on");
                 self.sender.withdrawn(now, number, &mut self.asked);
                 self.settle(now);
@@ -338,6 +371,7 @@
             error!(code = "journal-write", %e, "a webhook could not be taken on");
             return (Reply::NoRoom, None);
         }
+        self.counters.count(Transition::Taken);
         debug!(code = "taken", id, number, "a webhook is taken on and waits for others with its key");
         self.backlog.add(Resumable { number, ends_at, key: Some(key) });
         (Reply::Taken, Some(number))
@@ -347,6 +381,7 @@
     pub fn withdrawn(&mut self, now: f64, number: u64) {
         if let Some(webhook) = self.journal.open_webhook(number) {
             let id = &webhook.id;
+            self.counters.count(Transition::Withdrawn);
             info!(code = "withdrawn", id, number, "its client went away before it heard that it is taken on");
         }
         self.backlog.remove(number);
@@ -444,6 +479,7 @@
         }
         for (webhook, ending) in call.webhooks.iter().zip(endings) {
             let CalledWebhook { number, id, attempt } = webhook;
+            self.counters.count(ending.outcome.into());
             let before = self.journal.tries(*number);
             let may_run = matches!(
                 ending.outcome,
@@ -577,19 +613,25 @@
         let held = now - call.decided_at;
         if now >= call.stop_at {
             let (ep, count) = (&call.ep, call.webhooks.len());
+            self.counters.count(Transition::HeldBack);
             info!(code = "not-sent", ep, count, held, "its connection came up when its time was over");
             return GoAhead::NotNow;
         }
-        if let Some(webhook) = call.webhooks.iter().find(|w| !self.sender.may_go(now, w.number, &call.ep)) {
-            info!(code = "not-sent", id = webhook.id, ep = call.ep, held, "its connection came up too late");
-            return GoAhead::NotNow;
+        for CalledWebhook { number, id, .. } in &call.webhooks {
+            if let Some(why) = self.sender.hold_back(now, *number, &call.ep) {
+                info!(code = "not-sent", id, ep = call.ep, held, ?why, "its connection came up too late");
+                self.counters.count(Transition::HeldBack);
+                return GoAhead::NotNow;
+            }
         }
         for webhook in &mut call.webhooks {
             let CalledWebhook { number, id, attempt } = webhook;
             debug!(code = "out", id, number, ep = call.ep, zone = call.zone, held, "an attempt goes out");
             // A repeat is rare, and what on-call looks for first where an effect came twice.
             let tries = self.journal.tries(*number);
+            self.counters.count(Transition::Out);
             if tries.ran.is_some() || tries.out.is_some() {
+                self.counters.count(Transition::Repeated);
                 let (ep, zone, first) = (&call.ep, &call.zone, told(&tries, now));
                 info!(
                     code = "repeat",
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -34,6 +34,8 @@
 pub struct Journal<F = FolderFiles> {
     store: Store<F>,
     timeline: Timeline,
+    /// The folder's timeline went on at the start.
+    same_boot: bool,
     /// By the hash of the id, those without a final answer.
     ids: BTreeSet<(u64, u64)>,
     tries: TriesTable,
@@ -121,11 +123,16 @@
         self.timeline
     }
 
+    /// The times in the folder were on this boot's clock when it was opened.
+    pub fn is_same_boot(&self) -> bool {
+        self.same_boot
+    }
+
     /// Goes on with the timeline that was read, or begins one behind it where that cannot be.
     fn go_on(&mut self, read: Option<Timeline>, reading: &BootReading) {
         let last_event = self.tries.last_attempt();
         if let Some(timeline) = read.filter(|timeline| timeline.goes_on(last_event, reading)) {
-            self.timeline = timeline;
+            (self.timeline, self.same_boot) = (timeline, true);
             return;
         }
         self.timeline = Timeline::begin_behind(self.reached(), reading);
@@ -168,7 +175,8 @@
         let cache = Cache::new(CACHE);
         let next = last + 1;
         let timeline = Timeline::begin(reading);
-        let journal = Journal { store, timeline, ids, tries, cache, open, next, resumable, ended };
+        let same_boot = false;
+        let journal = Journal { store, timeline, same_boot, ids, tries, cache, open, next, resumable, ended };
         Ok((journal, torn as usize))
     }
 
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clients;
 pub mod clock;
 pub mod config;
+pub mod counters;
 pub mod driver;
 pub mod endpoints;
 pub mod http;
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -46,6 +46,11 @@
         Self::default()
     }
 
+    /// How many are due or out.
+    pub fn len(&self) -> usize {
+        self.out.len() + self.due.len()
+    }
+
     /// A webhook's final answer is due.
     pub fn push(&mut self, number: u64) {
         self.due.push_back(number);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,21 @@
     Moot(bool),
 }
 
+/// Why an attempt that was asked for does not go out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldBack {
+    /// The webhook has its final answer, or was withdrawn.
+    Over,
+    /// Its endpoint drains or is gone.
+    NotListed,
+    /// A wait was told.
+    Waits,
+    /// The process will have ended before an answer can come.
+    Closing,
+    /// An earlier attempt may have run, and a repeat might not be known any more.
+    WindowOver,
+}
+
 /// Which part of the endpoint list a list event carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListMode {
@@ -200,7 +215,12 @@
     /// Whether an attempt that was asked for may go out now that its connection is up. Where not, it ends as
     /// [`Outcome::Moot`].
     pub fn may_go(&self, now: f64, id: u64, ep: &str) -> bool {
-        self.0.may_go(now, id, ep)
+        self.hold_back(now, id, ep).is_none()
+    }
+
+    /// Why it may not.
+    pub fn hold_back(&self, now: f64, id: u64, ep: &str) -> Option<HoldBack> {
+        self.0.hold_back(now, id, ep)
     }
 
     /// Until when the last byte of an attempt for a webhook may be written, where it goes out.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,7 +13,7 @@
 use crate::chance::{Chance, hash};
 use crate::index::{Facts, Gates, Held, Kinds, Moment, median};
 use crate::state::*;
-use crate::{Effect, Entry, ListMode, Outbox, Outcome};
+use crate::{Effect, Entry, HoldBack, ListMode, Outbox, Outcome};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The design's minute: a route that was unused for so long is as if it were new.
@@ -414,13 +414,19 @@
         self.webhooks.get(&id).map_or(f64::NEG_INFINITY, |w| self.repeat_until(w))
     }
 
-    /// Whether an attempt still goes out though its connection came late: no wait, drain or end since.
-    pub fn may_go(&self, now: f64, id: u64, ep: &str) -> bool {
-        let (Some(w), Some((ep, r))) = (self.webhooks.get(&id), self.routes.get_key_value(ep)) else {
-            return false;
+    /// Why an attempt does not go out though its connection has come up, where something came in between.
+    pub fn hold_back(&self, now: f64, id: u64, ep: &str) -> Option<HoldBack> {
+        let Some(w) = self.webhooks.get(&id).filter(|w| !w.ended) else { return Some(HoldBack::Over) };
+        let Some((ep, r)) = self.routes.get_key_value(ep).filter(|(_, r)| r.ready) else {
+            return Some(HoldBack::NotListed);
         };
         let waits = self.meters.get(&Self::scope(ep, r)).is_some_and(|m| now < m.wait_until);
-        r.ready && !w.ended && !waits && now + r.slow <= self.closes_at && now < self.repeat_until(w)
+        match () {
+            () if waits => Some(HoldBack::Waits),
+            () if now + r.slow > self.closes_at => Some(HoldBack::Closing),
+            () if now >= self.repeat_until(w) => Some(HoldBack::WindowOver),
+            () => None,
+        }
     }
 
     /// When it is a webhook's turn among those of its key, as far as time alone decides it.
