--- a/crates/scale/src/standins/judge/mod.rs
+++ b/crates/scale/src/standins/judge/mod.rs
@@ -148,6 +148,11 @@
 }
 
 impl Restarts {
+    /// It went down, and is not ready again.
+    fn is_down(&self) -> bool {
+        self.spans.last().is_some_and(|(_, up)| up.is_none())
+    }
+
     /// When it was ready last after a restart.
     fn last_up(&self) -> Option<f64> {
         self.spans.last().and_then(|(_, up)| *up)
@@ -301,7 +306,10 @@
         {
             found.push((Rule::Waits, format!("was sent {:.3} s before its wait was over", until - at)));
         }
-        let up = self.restarts.get(&id.sender).and_then(Restarts::last_up);
+        let restarts = self.restarts.get(&id.sender);
+        // A new process is told from its first moment on, which is a little before it is ready.
+        let starts = restarts.is_some_and(Restarts::is_down);
+        let up = if starts { Some(at) } else { restarts.and_then(Restarts::last_up) };
         if let Some(late) = self.drains.called(id.sender, place.endpoint, up, at, self.terms.drain_grace) {
             found.push((Rule::Drains, format!("was sent {late:.3} s after the grace of a drain")));
         }
--- a/crates/scale/tests/judge.rs
+++ b/crates/scale/tests/judge.rs
@@ -410,6 +410,12 @@
             12.0,
             &[],
         ),
+        (
+            "a new process that is not ready yet",
+            &story(&[(1.0, Told(3)), (1.1, Down(3)), (1.95, there), (2.0, Up(3))]),
+            12.0,
+            &[],
+        ),
         (
             "a new process after it",
             &story(&[(1.0, Told(3)), (1.1, Down(3)), (2.0, Up(3)), (2.6, there)]),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,8 @@
 /// A destination where so many calls failed, over so many seconds, and none went well is out.
 const OUTAGE_CALLS: u32 = 3;
 const OUTAGE_SPAN: f64 = 2.0;
+/// So many that failed one after another are no chance, however quickly they did.
+const MANY_OUTAGE_CALLS: u32 = 8;
 
 struct Rule {
     name: &'static str,
@@ -283,7 +285,7 @@
     ) {
         self.now = now;
         let full = self.end_call(id, ep, outcome, took, report);
-        self.watch_for_outage(ep, outcome);
+        self.watch_for_outage(ep, outcome, now - took);
         let Some(w) = self.webhooks.get_mut(&id) else { return };
         if w.out.take().is_none() {
             return;
@@ -674,8 +676,9 @@
         here().map(|r| r.bad_row).sum::<u32>() >= enough && !here().any(fine)
     }
 
-    /// Calls were made for a while and none went well, however they ended: an outage.
-    fn watch_for_outage(&mut self, ep: &str, outcome: Outcome) {
+    /// Calls were made for a while, or in numbers, and none went well, however they ended: an outage. What was sent before
+    /// the first of them failed counts with it, as one event may end many calls.
+    fn watch_for_outage(&mut self, ep: &str, outcome: Outcome, sent_at: f64) {
         let Some((ep, r)) = self.routes.get_key_value(ep) else { return };
         let (scope, now) = (Self::scope(ep, r), self.now);
         let m = self.meters.entry(scope.clone()).or_default();
@@ -684,10 +687,12 @@
             Outcome::Moot(_) => return,
             _ => {}
         }
-        let (since, count) = m.failing.map_or((now, 1), |(since, count)| (since, count + 1));
+        let more = |(since, count)| (since, count + u32::from(sent_at >= since));
+        let (since, count) = m.failing.map_or((now, 1), more);
         m.failing = Some((since, count));
         let known = self.routes_of(&scope).all(|(_, r)| r.outage && r.back.is_none());
-        if count >= OUTAGE_CALLS && now - since > OUTAGE_SPAN && !known {
+        let lasts = count >= OUTAGE_CALLS && now - since > OUTAGE_SPAN;
+        if (lasts || count >= MANY_OUTAGE_CALLS) && !known {
             self.mark_outage(&scope, since);
             self.come_in_turn(&scope, false);
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -345,6 +345,20 @@
             "0 list a:z:plain:6\n0 hand 1 idem\n0.5 end 1 a reset\n1.5 end 1 a reset\n2 end 1 a reset\n2.7 end 1 a reset\n5.9 end 1 a ok\n6 hand 2 idem\n6 hand 3 idem\n6 hand 4 idem\n6 hand 5 idem\n6 hand 6 idem\n6 hand 7 idem\n6 hand 8 idem\n6 hand 9 idem\n7 pass",
             &[Sends(5.95, 7.0, 0..=3)],
         ),
+        (
+            // Short outages with many calls were over before two seconds were.
+            "a destination where eight calls in a row fail is out at once",
+            ONE,
+            "0 list a:z:plain:6\n0 hand 1 idem\n0.1 end 1 a reset\n0.3 hand 2 idem\n0.3 hand 3 idem\n0.3 hand 4 idem\n0.3 hand 5 idem\n0.3 hand 6 idem\n0.3 hand 7 idem\n0.3 hand 8 idem\n0.3 hand 9 idem\n0.6 end 2 a reset\n0.6 end 3 a reset\n0.6 end 4 a reset\n0.6 end 5 a reset\n0.6 end 6 a reset\n0.6 end 7 a reset\n0.6 end 8 a reset\n0.6 end 9 a reset\n5 pass\n5 end 1 a ok\n5 end 2 a ok\n5 end 3 a ok\n5 end 4 a ok\n5 end 5 a ok\n5 end 6 a ok\n5 end 7 a ok\n5 end 8 a ok\n5 end 9 a ok\n5.1 hand 11 idem\n5.1 hand 12 idem\n5.1 hand 13 idem\n5.1 hand 14 idem\n5.1 hand 15 idem\n5.1 hand 16 idem\n6.1 pass",
+            &[Sends(5.05, 6.1, 0..=3)],
+        ),
+        (
+            // Connections that are reset together are one event.
+            "many calls that are reset at one moment make no outage",
+            ONE,
+            "0 list a:z:plain:50\n0 hand 1 idem\n0 hand 2 idem\n0 hand 3 idem\n0 hand 4 idem\n0 hand 5 idem\n0 hand 6 idem\n0 hand 7 idem\n0 hand 8 idem\n0 hand 9 idem\n0.1 end 1 a reset\n0.1 end 2 a reset\n0.1 end 3 a reset\n0.1 end 4 a reset\n0.1 end 5 a reset\n0.1 end 6 a reset\n0.1 end 7 a reset\n0.1 end 8 a reset\n0.3 end 9 a ok\n1.5 pass",
+            &[Sends(0.25, 1.5, 8..=8)],
+        ),
         (
             // Refusals by two endpoints in turn put each aside and made no row.
             "a destination whose endpoints refuse in turn for two seconds is out as well",
