Outages by number: refusals do not count, and several webhooks in a call count once

A limit that is used up refuses in a row, and a lost call of several webhooks counted once for each. The row in decisions.rs has one more failed call, as its first call is one that counts only once.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -284,8 +284,13 @@
         report: Option<(f64, f64)>,
     ) {
         self.now = now;
+        // The first of several webhooks in a call stands for all.
+        let call = self.routes.get(ep).and_then(|r| r.calls.iter().find(|c| c.webhooks.contains(&id)));
+        let sent_at = call.filter(|c| !c.judged).map(|c| c.at);
         let full = self.end_call(id, ep, outcome, took, report);
-        self.watch_for_outage(ep, outcome, now - took);
+        if let Some(sent_at) = sent_at {
+            self.watch_for_outage(ep, outcome, sent_at);
+        }
         let Some(w) = self.webhooks.get_mut(&id) else { return };
         if w.out.take().is_none() {
             return;
@@ -676,8 +681,8 @@
         here().map(|r| r.bad_row).sum::<u32>() >= enough && !here().any(fine)
     }
 
-    /// Calls were made for a while, or in numbers, and none went well, however they ended: an outage. What was sent before
-    /// the first of them failed counts with it, as one event may end many calls.
+    /// A call is back that was sent at `sent_at`. Calls were made for a while, or in numbers, and none went well: an outage.
+    /// What was sent before the first of them failed counts with it, as one event may end many calls.
     fn watch_for_outage(&mut self, ep: &str, outcome: Outcome, sent_at: f64) {
         let Some((ep, r)) = self.routes.get_key_value(ep) else { return };
         let (scope, now) = (Self::scope(ep, r), self.now);
@@ -687,13 +692,18 @@
             Outcome::Moot(_) => return,
             _ => {}
         }
-        let more = |(since, count)| (since, count + u32::from(sent_at >= since));
-        let (since, count) = m.failing.map_or((now, 1), more);
-        m.failing = Some((since, count));
+        // A limit that is used up turns calls away in a row as well; that has paces of its own.
+        let lost = u32::from(!matches!(outcome, Outcome::Full(_)));
+        let failing = match m.failing {
+            None => Failing { since: now, calls: 1, lost },
+            Some(f) if sent_at < f.since => f,
+            Some(f) => Failing { calls: f.calls + 1, lost: f.lost + lost, ..f },
+        };
+        m.failing = Some(failing);
         let known = self.routes_of(&scope).all(|(_, r)| r.outage && r.back.is_none());
-        let lasts = count >= OUTAGE_CALLS && now - since > OUTAGE_SPAN;
-        if (lasts || count >= MANY_OUTAGE_CALLS) && !known {
-            self.mark_outage(&scope, since);
+        let lasts = failing.calls >= OUTAGE_CALLS && now - failing.since > OUTAGE_SPAN;
+        if (lasts || failing.lost >= MANY_OUTAGE_CALLS) && !known {
+            self.mark_outage(&scope, failing.since);
             self.come_in_turn(&scope, false);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -151,8 +151,19 @@
     pub cold_due: f64,
     /// When a call was last delivered there.
     pub well_at: Option<f64>,
-    /// When the first call since then failed, in whatever way, and how many have.
-    pub failing: Option<(f64, u32)>,
+    /// The calls that failed since.
+    pub failing: Option<Failing>,
+}
+
+/// Calls that failed one after another, in whatever way, with none delivered between.
+#[derive(Clone, Copy)]
+pub(crate) struct Failing {
+    /// When the first of them failed.
+    pub since: f64,
+    /// It, and those that were sent since then.
+    pub calls: u32,
+    /// Of these, ones that were not turned away.
+    pub lost: u32,
 }
 
 /// What a destination takes after an outage: `from` of its capacity, all of it after `warm` seconds. It falls over when
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -349,7 +349,7 @@
             // Short outages with many calls were over before two seconds were.
             "a destination where eight calls in a row fail is out at once",
             ONE,
-            "0 list a:z:plain:6\n0 hand 1 idem\n0.1 end 1 a reset\n0.3 hand 2 idem\n0.3 hand 3 idem\n0.3 hand 4 idem\n0.3 hand 5 idem\n0.3 hand 6 idem\n0.3 hand 7 idem\n0.3 hand 8 idem\n0.3 hand 9 idem\n0.6 end 2 a reset\n0.6 end 3 a reset\n0.6 end 4 a reset\n0.6 end 5 a reset\n0.6 end 6 a reset\n0.6 end 7 a reset\n0.6 end 8 a reset\n0.6 end 9 a reset\n5 pass\n5 end 1 a ok\n5 end 2 a ok\n5 end 3 a ok\n5 end 4 a ok\n5 end 5 a ok\n5 end 6 a ok\n5 end 7 a ok\n5 end 8 a ok\n5 end 9 a ok\n5.1 hand 11 idem\n5.1 hand 12 idem\n5.1 hand 13 idem\n5.1 hand 14 idem\n5.1 hand 15 idem\n5.1 hand 16 idem\n6.1 pass",
+            "0 list a:z:plain:6\n0 hand 1 idem\n0.1 end 1 a reset\n0.3 hand 2 idem\n0.3 hand 3 idem\n0.3 hand 4 idem\n0.3 hand 5 idem\n0.3 hand 6 idem\n0.3 hand 7 idem\n0.3 hand 8 idem\n0.3 hand 9 idem\n0.6 end 1 a reset\n0.6 end 2 a reset\n0.6 end 3 a reset\n0.6 end 4 a reset\n0.6 end 5 a reset\n0.6 end 6 a reset\n0.6 end 7 a reset\n0.6 end 8 a reset\n0.6 end 9 a reset\n5 pass\n5 end 1 a ok\n5 end 2 a ok\n5 end 3 a ok\n5 end 4 a ok\n5 end 5 a ok\n5 end 6 a ok\n5 end 7 a ok\n5 end 8 a ok\n5 end 9 a ok\n5.1 hand 11 idem\n5.1 hand 12 idem\n5.1 hand 13 idem\n5.1 hand 14 idem\n5.1 hand 15 idem\n5.1 hand 16 idem\n6.1 pass",
             &[Sends(5.05, 6.1, 0..=3)],
         ),
         (
