--- a/crates/scale/src/soak/mod.rs
+++ b/crates/scale/src/soak/mod.rs
@@ -49,6 +49,9 @@
     /// The seeds to play, as 1..11, or one seed
     #[bpaf(long, argument::<Seeds>("A..B"), fallback(Seeds(1..2)))]
     pub seeds: Seeds,
+    /// Leave a seed out; may be given several times
+    #[bpaf(long, argument("SEED"))]
+    pub skip: Vec<u64>,
     /// Seconds of load for each seed
     #[bpaf(long, argument("SECONDS"), fallback(20.0), display_fallback, guard(|s| (5.0..=3600.0).contains(s), "5 to 3600"))]
     pub seconds: f64,
@@ -68,7 +71,8 @@
 
 /// Plays all seeds; an error where a rule is broken by one of them.
 pub fn run(options: &Options, stop: &Stop) -> Result<(), Error> {
-    let plans = options.seeds.0.clone().map(|seed| draw(seed, options.seconds, &options.without));
+    let seeds = options.seeds.0.clone().filter(|seed| !options.skip.contains(seed));
+    let plans = seeds.map(|seed| draw(seed, options.seconds, &options.without));
     let plans: Vec<Plan> = plans.collect();
     if options.plan {
         plans.iter().for_each(|plan| print!("{plan}"));
