--- a/crates/emulator/src/baselines.rs
+++ b/crates/emulator/src/baselines.rs
@@ -37,7 +37,7 @@
 }
 
 struct Held {
-    evt: usize,
+    event_type: usize,
     dest: u64,
     ttl_at: f64,
     tries: u32,
@@ -78,14 +78,14 @@
 
     fn give_up(&mut self, id: u64, out: &mut dyn Outbox) {
         let Some(h) = self.held.remove(&id) else { return };
-        let t = &self.world.event_types[h.evt];
+        let t = &self.world.event_types[h.event_type];
         let no_harm = t.effect == Effect::Idempotent || (t.effect == Effect::Tokened && t.by_all);
         if h.ran.is_none() || no_harm { out.reject(id, 0.0) } else { out.dead_letter(id) }
     }
 
     fn try_send(&mut self, now: f64, id: u64, out: &mut dyn Outbox) {
         let Some(h) = self.held.get(&id).filter(|h| !h.out) else { return };
-        let t = &self.world.event_types[h.evt];
+        let t = &self.world.event_types[h.event_type];
         let ends = match (&h.ran, t.effect) {
             (None, _) | (_, Effect::Idempotent) => h.ttl_at,
             (_, Effect::AtMostOnce) => 0.0,
@@ -158,21 +158,21 @@
     }
 
     fn webhook(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, _key: Option<&str>, _customer: Option<&str>,
-        left: f64, out: &mut dyn Outbox,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, _key: Option<&str>,
+        _customer: Option<&str>, left: f64, out: &mut dyn Outbox,
     ) {
-        let evt = self.world.event_types.iter().position(|t| t.name == evt).unwrap_or(0);
-        self.held.insert(id, Held { evt, dest, ttl_at: now + left, tries: 0, ran: None, out: false });
+        let event_type = self.world.event_types.iter().position(|t| t.name == event_type).unwrap_or(0);
+        self.held.insert(id, Held { event_type, dest, ttl_at: now + left, tries: 0, ran: None, out: false });
         self.try_send(now, id, out);
     }
 
     fn resumed(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, _key: Option<&str>, _customer: Option<&str>,
-        left: f64, tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, _key: Option<&str>,
+        _customer: Option<&str>, left: f64, tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
     ) {
-        let evt = self.world.event_types.iter().position(|t| t.name == evt).unwrap_or(0);
+        let event_type = self.world.event_types.iter().position(|t| t.name == event_type).unwrap_or(0);
         let ran = ran.map(|(zone, at)| (zone.into(), at));
-        self.held.insert(id, Held { evt, dest, ttl_at: now + left, tries, ran, out: false });
+        self.held.insert(id, Held { event_type, dest, ttl_at: now + left, tries, ran, out: false });
         self.try_send(now, id, out);
     }
 
--- a/crates/emulator/src/events.rs
+++ b/crates/emulator/src/events.rs
@@ -46,7 +46,7 @@
         webhook: u64,
         message: u64,
         sender: u32,
-        evt: u16,
+        event_type: u16,
         dest: u32,
         key: u64,
         ttl_at: Nanos,
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -8,11 +8,11 @@
 pub trait Policy {
     fn list(&mut self, now: f64, mode: ListMode, entries: &[Entry], out: &mut dyn Outbox);
     fn webhook(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
         left: f64, out: &mut dyn Outbox,
     );
     fn resumed(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
         left: f64, tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
     );
     fn closing(&mut self, now: f64, by: f64, out: &mut dyn Outbox);
@@ -34,16 +34,16 @@
         Sender::list(self, now, mode, entries, out);
     }
     fn webhook(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
         left: f64, out: &mut dyn Outbox,
     ) {
-        Sender::webhook(self, now, id, evt, dest, key, customer, left, out);
+        Sender::webhook(self, now, id, event_type, dest, key, customer, left, out);
     }
     fn resumed(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
         left: f64, tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
     ) {
-        Sender::resumed(self, now, id, evt, dest, key, customer, left, tries, ran, out);
+        Sender::resumed(self, now, id, event_type, dest, key, customer, left, tries, ran, out);
     }
     fn closing(&mut self, now: f64, by: f64, out: &mut dyn Outbox) {
         Sender::closing(self, now, by, out);
--- a/crates/emulator/src/rules.rs
+++ b/crates/emulator/src/rules.rs
@@ -33,7 +33,7 @@
 struct Kept {
     sender: u32,
     message: u64,
-    evt: u16,
+    event_type: u16,
     key: u64,
     ttl_at: Nanos,
     /// The attempt that is out: endpoint and when.
@@ -136,13 +136,14 @@
         match line.what {
             What::Started { sender } => self.started[sender as usize] = Some(now),
             What::Killed { sender } => self.killed(now, sender),
-            What::Taken { webhook, message, sender, evt, key, ttl_at, .. } => {
+            What::Taken { webhook, message, sender, event_type, key, ttl_at, .. } => {
                 debug_assert_eq!(self.kept.len() as u64 + 1, webhook);
-                let kept = Kept { sender, message, evt, key, ttl_at, out: None, ran: None, ended: false };
+                let kept =
+                    Kept { sender, message, event_type, key, ttl_at, out: None, ran: None, ended: false };
                 self.kept.push(kept);
                 let messages = self.effects.len().max(message as usize + 1);
                 self.effects.resize(messages, 0);
-                if self.types[usize::from(evt)].ordered {
+                if self.types[usize::from(event_type)].ordered {
                     self.lines.entry((sender, key)).or_default().push_back(webhook);
                 }
             }
@@ -193,7 +194,7 @@
 
     fn attempt(&mut self, now: Nanos, webhook: u64, sender: u32, ep: u32) {
         let Some(k) = self.kept.get(webhook as usize - 1) else { return };
-        let t = &self.types[usize::from(k.evt)];
+        let t = &self.types[usize::from(k.event_type)];
         let mut found = Vec::new();
         if k.ended {
             found.push((Rule::Lost, format!("webhook {webhook} was sent after its final answer")));
@@ -267,7 +268,7 @@
         }
         let may_still = matches!(told, Told::TimedOut | Told::Reset | Told::Cancelled);
         let (key, ended) = (k.key, k.ended);
-        if self.types[usize::from(k.evt)].ordered {
+        if self.types[usize::from(k.event_type)].ordered {
             if may_still {
                 self.rests.insert((sender, key), (now + self.rest, webhook));
             }
@@ -288,7 +289,7 @@
 
     fn ran(&mut self, now: Nanos, webhook: u64, ep: u32, known: bool) {
         let Some(k) = self.kept.get(webhook as usize - 1) else { return };
-        let (message, effect) = (k.message, self.types[usize::from(k.evt)].effect);
+        let (message, effect) = (k.message, self.types[usize::from(k.event_type)].effect);
         if known || effect == Effect::Idempotent {
             return;
         }
@@ -308,7 +309,8 @@
         if std::mem::replace(&mut k.ended, true) {
             return self.breaks(Rule::Lost, now, format!("webhook {webhook} got a second final answer"));
         }
-        let (ttl_at, ran, out, key, evt) = (k.ttl_at, k.ran, k.out.is_some(), k.key, usize::from(k.evt));
+        let (ttl_at, ran, out, key, event_type) =
+            (k.ttl_at, k.ran, k.out.is_some(), k.key, usize::from(k.event_type));
         // One whose time ended while its sender was down is owed an answer at once when it is up again.
         let up = self.started[sender as usize].unwrap_or(0);
         let answers = matches!(end, Final::Delivered | Final::Rejected | Final::DeadLettered);
@@ -320,12 +322,12 @@
                 format!("webhook {webhook} got its final answer {late:.3} s after TTL"),
             );
         }
-        let t = &self.types[evt];
+        let t = &self.types[event_type];
         let no_harm = t.effect == Effect::Idempotent || (t.effect == Effect::Tokened && t.by_all);
         if end == Final::Rejected && (ran.is_some() || out) && !no_harm {
             self.breaks(Rule::Twice, now, format!("webhook {webhook} may have run and was rejected"));
         }
-        if self.types[evt].ordered && !out {
+        if self.types[event_type].ordered && !out {
             self.out_of_line(sender, key, webhook);
         }
     }
@@ -336,7 +338,7 @@
         for (i, k) in self.kept.iter_mut().enumerate().filter(|(_, k)| k.sender == sender) {
             let Some((ep, at)) = k.out.take() else { continue };
             k.ran = k.ran.or(Some((self.zones[ep as usize], at)));
-            if self.types[usize::from(k.evt)].ordered {
+            if self.types[usize::from(k.event_type)].ordered {
                 self.rests.insert((sender, k.key), (now + self.rest, i as u64 + 1));
                 over.extend(k.ended.then_some((k.key, i as u64 + 1)));
             }
--- a/crates/emulator/src/run.rs
+++ b/crates/emulator/src/run.rs
@@ -93,7 +93,7 @@
 
 /// What a client wants delivered; it keeps its name however often it is handed in.
 struct Message {
-    evt: u16,
+    event_type: u16,
     dest: u32,
     key: u64,
     customer: Option<u16>,
@@ -193,7 +193,7 @@
     /// Endpoints in an outage.
     out: Vec<bool>,
     chance: Chances,
-    evts: Weighted,
+    event_types_drawn: Weighted,
     customers: Weighted,
     top_rate: f64,
     length: Nanos,
@@ -246,7 +246,7 @@
             service: generator(seed, "service"),
             list: generator(seed, "list"),
         },
-        evts: Weighted::new(world.event_types.iter().map(|t| t.share)),
+        event_types_drawn: Weighted::new(world.event_types.iter().map(|t| t.share)),
         customers: Weighted::new(world.customers.iter().map(|c| c.share)),
         // A clump counts as one arrival: the rate of webhooks stays as it is named.
         top_rate: world.clients.rate * curve_top * surges.product::<f64>() * clump,
@@ -414,8 +414,8 @@
     fn message(&mut self, now: Nanos, dest: u32) {
         let (c, w) = (&self.world.clients, self.world);
         let with = &mut self.chance.clients;
-        let evt = self.evts.draw(with) as u16;
-        let t = &w.event_types[usize::from(evt)];
+        let event_type = self.event_types_drawn.draw(with) as u16;
+        let t = &w.event_types[usize::from(event_type)];
         let left = if c.short > 0.0 && with.random::<f64>() < c.short {
             c.short_s.draw(with).min(t.ttl_s)
         } else {
@@ -429,7 +429,17 @@
             (c.withdraw > 0.0 && with.random::<f64>() < c.withdraw).then(|| c.withdraw_s.draw(with));
         let (message, ttl_at) = (self.messages.len() as u64, now + nanos(left));
         let (again, webhook, over) = (0, 0, false);
-        self.messages.push(Message { evt, dest, key, customer, first_at: now, ttl_at, again, webhook, over });
+        self.messages.push(Message {
+            event_type,
+            dest,
+            key,
+            customer,
+            first_at: now,
+            ttl_at,
+            again,
+            webhook,
+            over,
+        });
         self.living += 1;
         self.measures.counts.messages += 1;
         self.measures.asked(now, t.value);
@@ -487,7 +497,7 @@
             return self.again(now, message, 0.0);
         }
         let webhook = self.hooks.len() as u64 + 1;
-        let (evt, dest, key, ttl_at) = (m.evt, m.dest, m.key, m.ttl_at);
+        let (event_type, dest, key, ttl_at) = (m.event_type, m.dest, m.key, m.ttl_at);
         self.hooks.push(Hook {
             message,
             sender,
@@ -503,7 +513,7 @@
         self.measures.at_senders.enter(now);
         let held = self.measures.counts.taken - self.measures.at_senders.left;
         self.measures.counts.held_most = self.measures.counts.held_most.max(held);
-        self.log(Log::Taken { webhook, message, sender, evt, dest, key, ttl_at });
+        self.log(Log::Taken { webhook, message, sender, event_type, dest, key, ttl_at });
         self.give(now, webhook, None);
     }
 
@@ -512,18 +522,19 @@
         let hook = &self.hooks[webhook as usize - 1];
         let (m, sender) = (&self.messages[hook.message as usize], hook.sender);
         let world = self.world;
-        let evt = &world.event_types[usize::from(m.evt)].name;
+        let event_type = &world.event_types[usize::from(m.event_type)].name;
         let key = (m.key > 0).then(|| format!("k{}", m.key));
         let customer = m.customer.map(|c| world.customers[usize::from(c)].name.as_str());
         let (dest, left) = (u64::from(m.dest), m.ttl_at as f64 / 1e9 - seconds(now));
         let (now, key) = (seconds(now), key.as_deref());
         match resumed {
-            None => self.input(sender, |p, out| p.webhook(now, webhook, evt, dest, key, customer, left, out)),
+            None => self
+                .input(sender, |p, out| p.webhook(now, webhook, event_type, dest, key, customer, left, out)),
             Some((tries, ran)) => {
                 let zone = ran.map(|r| (self.fleet.zones[usize::from(r.0)].clone(), seconds(r.1)));
                 let ran = zone.as_ref().map(|(z, at)| (z.as_str(), *at));
                 self.input(sender, |p, out| {
-                    p.resumed(now, webhook, evt, dest, key, customer, left, tries, ran, out);
+                    p.resumed(now, webhook, event_type, dest, key, customer, left, tries, ran, out);
                 });
             }
         }
@@ -611,7 +622,7 @@
         self.hosts[sender as usize].open.remove(&webhook);
         self.measures.at_senders.leave(now, taken_at);
         let m = &mut self.messages[message as usize];
-        let t = &self.world.event_types[usize::from(m.evt)];
+        let t = &self.world.event_types[usize::from(m.event_type)];
         let counts = &mut self.measures.counts;
         match end {
             Final::Delivered => {
@@ -952,7 +963,7 @@
         let mut known = Vec::new();
         for webhook in hooks.iter().filter(|_| runs) {
             let message = self.hooks[*webhook as usize - 1].message;
-            let t = &self.world.event_types[usize::from(self.messages[message as usize].evt)];
+            let t = &self.world.event_types[usize::from(self.messages[message as usize].event_type)];
             let tokened = t.effect == Effect::Tokened;
             known.push(tokened && self.fleet.knows(now, ep, message, t.by_all, nanos(t.known_s)));
         }
--- a/crates/emulator/tests/helpers/mod.rs
+++ b/crates/emulator/tests/helpers/mod.rs
@@ -11,14 +11,14 @@
 /// One destination with one endpoint of so many workers, no way, no limits, and time without end.
 pub fn queue(rate: f64, workers: usize, service: Spread, length_s: f64) -> World {
     let kind = Kind { service, workers, queue: usize::MAX, connections: usize::MAX, ..Kind::default() };
-    let evt = EventType { target_s: 1e5, ttl_s: 1e6, ..EventType::default() };
+    let event_type = EventType { target_s: 1e5, ttl_s: 1e6, ..EventType::default() };
     World {
         day: Day { length_s, ..Day::default() },
         senders: Senders { count: 1, slots: usize::MAX, holds: usize::MAX, ..Senders::default() },
         clients: Clients { rate, ..Clients::default() },
         destinations: Destinations { count: 1, skew: 0.0, endpoints: (1, 1) },
         kinds: vec![kind],
-        event_types: vec![evt],
+        event_types: vec![event_type],
         net: Net {
             zones: 1,
             same: Spread::fixed(0.0),
@@ -39,7 +39,7 @@
         ("once", Effect::AtMostOnce, false, false),
         ("line", Effect::Tokened, true, true),
     ];
-    let evt = |(name, effect, by_all, ordered): (&str, Effect, bool, bool)| EventType {
+    let event_type = |(name, effect, by_all, ordered): (&str, Effect, bool, bool)| EventType {
         name: name.into(),
         target_s: 2.0,
         ttl_s: 8.0,
@@ -64,7 +64,7 @@
         clients: Clients { rate: 60.0, clump_share: 0.1, ..Clients::default() },
         destinations: Destinations { count: 10, ..Destinations::default() },
         kinds: vec![plain, apart],
-        event_types: types.into_iter().map(evt).collect(),
+        event_types: types.into_iter().map(event_type).collect(),
         ..World::default()
     }
 }
@@ -106,7 +106,7 @@
 }
 
 struct Item {
-    evt: String,
+    event_type: String,
     key: Option<String>,
     dest: u64,
     out: bool,
@@ -221,25 +221,25 @@
         }
     }
     fn webhook(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, _customer: Option<&str>,
-        left: f64, out: &mut dyn Outbox,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>,
+        _customer: Option<&str>, left: f64, out: &mut dyn Outbox,
     ) {
         let key = key.map(Into::into);
-        let evt = evt.into();
-        let item = Item { evt, key, dest, out: false, tries: 0, may_run: false, ttl_at: now + left };
+        let event_type = event_type.into();
+        let item = Item { event_type, key, dest, out: false, tries: 0, may_run: false, ttl_at: now + left };
         self.items.insert(id, item);
         self.arriving = true;
         self.settle(now, out);
         self.arriving = false;
     }
     fn resumed(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
         left: f64, _tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
     ) {
         if ran.is_some() {
             out.dead_letter(id);
         } else {
-            self.webhook(now, id, evt, dest, key, customer, left, out);
+            self.webhook(now, id, event_type, dest, key, customer, left, out);
         }
     }
     fn closing(&mut self, _now: f64, _by: f64, _out: &mut dyn Outbox) {}
@@ -263,7 +263,7 @@
         if let Some(i) = self.items.get_mut(&id) {
             i.out = false;
             if matches!(outcome, Outcome::Failed | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
-                i.may_run |= i.evt != "idem";
+                i.may_run |= i.event_type != "idem";
                 if let Some(k) = &i.key {
                     self.rest.insert(k.clone(), (now + 0.6, id));
                 }
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -51,16 +51,16 @@
         self.took.set(Took { list: took.list.max(began.elapsed()), ..took });
     }
     fn webhook(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
         left: f64, out: &mut dyn Outbox,
     ) {
-        self.time(|p| p.webhook(now, id, evt, dest, key, customer, left, out));
+        self.time(|p| p.webhook(now, id, event_type, dest, key, customer, left, out));
     }
     fn resumed(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
         left: f64, tries: u32, ran: Option<(&str, f64)>, out: &mut dyn Outbox,
     ) {
-        self.time(|p| p.resumed(now, id, evt, dest, key, customer, left, tries, ran, out));
+        self.time(|p| p.resumed(now, id, event_type, dest, key, customer, left, tries, ran, out));
     }
     fn closing(&mut self, now: f64, by: f64, out: &mut dyn Outbox) {
         self.time(|p| p.closing(now, by, out));
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -284,8 +284,8 @@
                 RepeatEffect::Guarded => Effect::Tokened,
                 RepeatEffect::SingleShot => Effect::AtMostOnce,
             };
-            let by_all = c.group.as_deref() == Some("all");
-            sender.set_effect(&c.name, effect, seconds(c.repeat_window_ms, 0.0), by_all, c.fifo_by_key);
+            let known_by_all = c.group.as_deref() == Some("all");
+            sender.set_effect(&c.name, effect, seconds(c.repeat_window_ms, 0.0), known_by_all, c.fifo_by_key);
         }
         for (i, kind) in s.models.iter().enumerate() {
             let batch = s.family_info.bundle_max.get(i).copied().unwrap_or(1);
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -46,9 +46,9 @@
             "single_shot" => Effect::AtMostOnce,
             _ => return Err((EVENT.into(), "effect".into(), "is not a known effect")),
         };
-        let by_all = text_if(EVENT, c, "group")? == Some("all");
-        let known_for = seconds(c, "repeat-window-ms", 0.0)?;
-        sender.set_effect(name, effect, known_for, by_all, flag(EVENT, c, "fifo-by-key")?);
+        let known_by_all = text_if(EVENT, c, "group")? == Some("all");
+        let repeat_window = seconds(c, "repeat-window-ms", 0.0)?;
+        sender.set_effect(name, effect, repeat_window, known_by_all, flag(EVENT, c, "fifo-by-key")?);
     }
 
     let (batches, apart) = (part(info, "bundle-max")?, part(info, "routes-apart")?);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -117,16 +117,19 @@
     /// An event type: wanted within `target` seconds, given up after `ttl`; `late` is the share of `value`
     /// left then, reached by halving with each further target latency or evenly.
     pub fn set_event_type(&mut self, name: &str, target: f64, ttl: f64, value: f64, late: f64, halves: bool) {
-        let evt = EventType { target, ttl, value, late, halves, ..EventType::default() };
-        self.0.types.insert(name.into(), evt);
+        let event_type = EventType { target, ttl, value, late, halves, ..EventType::default() };
+        self.0.types.insert(name.into(), event_type);
     }
 
     /// What a repeat of an event type does, and whether webhooks with one key go in order. For a tokened
     /// type: how long a repeat is known, and whether by all endpoints of the destination or those of one
     /// zone.
-    pub fn set_effect(&mut self, name: &str, effect: Effect, known_for: f64, by_all: bool, ordered: bool) {
-        let Some(evt) = self.0.types.get_mut(name) else { return };
-        (evt.effect, evt.known_for, evt.by_all, evt.ordered) = (effect, known_for, by_all, ordered);
+    pub fn set_effect(
+        &mut self, name: &str, effect: Effect, repeat_window: f64, known_by_all: bool, ordered: bool,
+    ) {
+        let Some(event_type) = self.0.types.get_mut(name) else { return };
+        (event_type.effect, event_type.repeat_window, event_type.known_by_all, event_type.ordered) =
+            (effect, repeat_window, known_by_all, ordered);
     }
 
     /// A kind of destination: webhooks in one call at most, and whether its endpoints are routes apart.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -149,21 +149,21 @@
     }
 
     pub fn webhook(
-        &mut self, now: f64, id: u64, evt: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
+        &mut self, now: f64, id: u64, event_type: &str, dest: u64, key: Option<&str>, customer: Option<&str>,
         left: f64,
     ) {
         self.now = now;
         let ttl_at = now + left;
-        let t = self.types.get(evt);
+        let t = self.types.get(event_type);
         let target_at = t.map_or(now, |t| ttl_at - t.ttl + t.target);
         let key = key.filter(|_| t.is_some_and(|t| t.ordered)).map(Name::from);
         if let Some(k) = &key {
             self.key_lines.entry(k.clone()).or_default().push_back(id);
         }
-        let (evt, over) = (evt.into(), customer.is_some_and(|c| self.over_share(c)));
+        let (event_type, over) = (event_type.into(), customer.is_some_and(|c| self.over_share(c)));
         // No attempt is left for a destination that was never listed.
         let tries = if self.dests.contains_key(&dest) { 0 } else { u32::MAX };
-        let w = Webhook { evt, dest, key, over, target_at, ttl_at, tries, ..Webhook::default() };
+        let w = Webhook { event_type, dest, key, over, target_at, ttl_at, tries, ..Webhook::default() };
         self.webhooks.insert(id, w);
         self.hold(id);
     }
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -24,7 +24,7 @@
 
     /// What a delivery at `at` would still be worth.
     pub(super) fn value(&self, w: &Webhook, at: f64) -> f64 {
-        let Some(t) = self.types.get(&w.evt) else { return 0.0 };
+        let Some(t) = self.types.get(&w.event_type) else { return 0.0 };
         let past = at - w.target_at;
         let share = if past <= 0.0 {
             1.0
--- a/src/logic/repeats.rs
+++ b/src/logic/repeats.rs
@@ -47,10 +47,10 @@
     /// Holds a webhook, or puts it where it belongs now if it is held.
     pub(super) fn hold(&mut self, id: u64) {
         let Some(w) = self.webhooks.get(&id) else { return };
-        let t = self.types.get(&w.evt);
+        let t = self.types.get(&w.event_type);
         // No further attempt is allowed.
         let over = t.is_none() || w.tries >= self.caps.attempts;
-        let by_zone = t.is_some_and(|t| t.effect == Effect::Tokened && !t.by_all);
+        let by_zone = t.is_some_and(|t| t.effect == Effect::Tokened && !t.known_by_all);
         let zone = w.ran.as_ref().filter(|_| by_zone).map(|r| r.0.clone());
         let facts = Facts {
             dest: w.dest,
@@ -58,7 +58,7 @@
             late_at: w.ttl_at - 0.005,
             spent_at: if over { f64::NEG_INFINITY } else { self.repeat_until(w) },
             own_at: w.not_before.max(self.turn_at(id, w)),
-            group: (w.evt.clone(), w.over, zone),
+            group: (w.event_type.clone(), w.over, zone),
             target_at: w.target_at,
         };
         self.held.put(id, facts);
@@ -74,16 +74,16 @@
 
     /// Handing in again does no harm: nothing may have run, or whoever gets a repeat knows it.
     pub(super) fn may_reject(&self, w: &Webhook) -> bool {
-        let Some(t) = self.types.get(&w.evt) else { return w.ran.is_none() };
-        w.ran.is_none() || t.effect == Effect::Idempotent || (t.effect == Effect::Tokened && t.by_all)
+        let Some(t) = self.types.get(&w.event_type) else { return w.ran.is_none() };
+        w.ran.is_none() || t.effect == Effect::Idempotent || (t.effect == Effect::Tokened && t.known_by_all)
     }
 
     /// Until when a repeat cannot make a second effect.
     pub(super) fn repeat_until(&self, w: &Webhook) -> f64 {
-        let (Some(t), Some((_, at))) = (self.types.get(&w.evt), &w.ran) else { return f64::INFINITY };
+        let (Some(t), Some((_, at))) = (self.types.get(&w.event_type), &w.ran) else { return f64::INFINITY };
         match t.effect {
             Effect::Idempotent => f64::INFINITY,
-            Effect::Tokened => at + t.known_for - REPEAT_MARGIN,
+            Effect::Tokened => at + t.repeat_window - REPEAT_MARGIN,
             Effect::AtMostOnce => 0.0,
         }
     }
--- a/src/logic/retries.rs
+++ b/src/logic/retries.rs
@@ -31,7 +31,7 @@
     }
 
     pub(super) fn stop_at(&self, w: &Webhook, r: &Route) -> f64 {
-        let effect = self.types.get(&w.evt).map(|t| t.effect);
+        let effect = self.types.get(&w.event_type).map(|t| t.effect);
         // An at-most-once time-out could only be dead-lettered; `stuck` ends it when its slot is needed.
         let free = matches!(effect, Some(Effect::Idempotent | Effect::Tokened));
         if free { (self.now + self.patience(r)).min(w.ttl_at) } else { w.ttl_at }
--- a/src/scan.rs
+++ b/src/scan.rs
@@ -13,8 +13,8 @@
 }
 
 fn may_repeat(l: &Logic, w: &Webhook, zone: &str) -> bool {
-    let (Some(t), Some((first, _))) = (l.types.get(&w.evt), &w.ran) else { return w.ran.is_none() };
-    let known = t.effect != Effect::Tokened || t.by_all || **first == *zone;
+    let (Some(t), Some((first, _))) = (l.types.get(&w.event_type), &w.ran) else { return w.ran.is_none() };
+    let known = t.effect != Effect::Tokened || t.known_by_all || **first == *zone;
     known && l.now < l.repeat_until(w)
 }
 
@@ -30,7 +30,7 @@
 fn spent(l: &Logic) -> Option<u64> {
     let over = |id: &u64| {
         let w = &l.webhooks[id];
-        l.now >= l.repeat_until(w) || w.tries >= l.caps.attempts || !l.types.contains_key(&w.evt)
+        l.now >= l.repeat_until(w) || w.tries >= l.caps.attempts || !l.types.contains_key(&w.event_type)
     };
     held(l).into_iter().map(|x| x.1).find(over)
 }
@@ -63,7 +63,7 @@
             let fits =
                 |x: &&(u64, u64)| x.0 == *dest && able(l, x.1) && may_repeat(l, &l.webhooks[&x.1], &r.zone);
             let harm = |x: &&(u64, u64)| {
-                let effect = l.types.get(&l.webhooks[&x.1].evt).map(|t| t.effect);
+                let effect = l.types.get(&l.webhooks[&x.1].event_type).map(|t| t.effect);
                 (effect == Some(Effect::AtMostOnce), effect == Some(Effect::Tokened))
             };
             if let Some(x) = all.iter().filter(fits).min_by_key(harm) {
@@ -161,10 +161,11 @@
         ("once", Effect::AtMostOnce, false, false, true),
         ("line", Effect::Tokened, true, true, true),
     ];
-    for (name, effect, by_all, ordered, halves) in types {
-        let (target, ttl, value, late, known_for) = (1.0, 6.0, 1.0, 0.3, 4.0);
-        let evt = EventType { target, ttl, value, late, halves, effect, known_for, by_all, ordered };
-        l.types.insert(name.into(), evt);
+    for (name, effect, known_by_all, ordered, halves) in types {
+        let (target, ttl, value, late, repeat_window) = (1.0, 6.0, 1.0, 0.3, 4.0);
+        let event_type =
+            EventType { target, ttl, value, late, halves, effect, repeat_window, known_by_all, ordered };
+        l.types.insert(name.into(), event_type);
     }
     l.kinds.insert("plain".into(), (1, false));
     l.kinds.insert("apart".into(), (3, true));
@@ -208,10 +209,10 @@
             match what {
                 0..=5 => {
                     id += 1;
-                    let evt = ["idem", "token", "once", "line", "token", "idem", "token", "unknown"][n % 8];
+                    let event_type = ["idem", "token", "once", "line", "token", "idem", "token", "unknown"][n % 8];
                     let key = (n % 8 == 3).then_some(["a", "b"][n % 2]);
                     let left = if n % 11 == 0 { 0.3 } else { 6.0 };
-                    l.webhook(now, id, evt, 1 + (n as u64 % 6).min(4), key, (n % 7 == 0).then_some("c"), left);
+                    l.webhook(now, id, event_type, 1 + (n as u64 % 6).min(4), key, (n % 7 == 0).then_some("c"), left);
                     if n % 13 == 0 {
                         l.resumed(id, n as u32 % 5, (n % 2 == 0).then_some(("x", now - 1.0)));
                     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,14 +15,14 @@
     pub late: f64,
     pub halves: bool,
     pub effect: Effect,
-    pub known_for: f64,
-    pub by_all: bool,
+    pub repeat_window: f64,
+    pub known_by_all: bool,
     pub ordered: bool,
 }
 
 #[derive(Default)]
 pub(crate) struct Webhook {
-    pub evt: Name,
+    pub event_type: Name,
     pub dest: u64,
     pub key: Option<Name>,
     pub over: bool,
