--- a/crates/scale/src/standins/receivers.rs
+++ b/crates/scale/src/standins/receivers.rs
@@ -105,7 +105,7 @@
         self.endpoints.insert(at, EndpointRole { place, behaviour: None, way: Way::Open });
     }
 
-    /// What the endpoint at an address does, before what its destination does; `None` for that.
+    /// What the endpoint at an address does while its destination is told nothing; `None` for what all do.
     pub fn set_at(&mut self, at: SocketAddr, behaviour: Option<Behaviour>) {
         if let Some(role) = self.endpoints.get_mut(&at) {
             role.behaviour = behaviour;
@@ -178,7 +178,7 @@
         let (place, own) = role.map_or((Place::default(), None), |role| (role.place, role.behaviour));
         self.record.tell(|judge, now| judge.called(id, place, now));
         self.carried.insert(from, Carried { id, out: true, at });
-        let (bytes, end) = match own.or(self.apart.get(&id.dest).copied()).unwrap_or(self.usual) {
+        let (bytes, end) = match self.apart.get(&id.dest).copied().or(own).unwrap_or(self.usual) {
             Behaviour::Serve(pause) if !pause.is_zero() => {
                 return replies.send_at(Instant::now() + pause, from, answer(200, "", ""));
             }
--- a/crates/scale/tests/judge.rs
+++ b/crates/scale/tests/judge.rs
@@ -430,6 +430,12 @@
     let one = id(EventType::Idempotent, 1);
     let lost = [Rule::Lost];
     check(&[
+        (
+            "a process that ended a moment before that is known",
+            &[(0.0, Unheard(one)), (2.0, Unanswered(one, 0.1)), (2.01, Over(3))],
+            12.0,
+            &[],
+        ),
         ("a request on a new connection", &[(0.0, Unheard(one)), (0.1, Unanswered(one, 0.1))], 12.0, &lost),
         // A process that was killed then has answered nobody.
         ("at a kill", &[(0.0, Unheard(one)), (0.1, Down(3)), (0.15, Unanswered(one, 0.15))], 12.0, &[]),
@@ -461,6 +467,12 @@
             &[],
         ),
         ("uncertain, and given up", &story(CallEnd::Uncertain, &[(9.0, Noticed(one))]), 12.0, &[]),
+        (
+            "delivered just before its time is up, read too late and given up",
+            &[(0.0, Taken(one)), (9.8, Called(one)), (9.9, Answered(one, Delivered)), (10.1, Noticed(one))],
+            12.0,
+            &[],
+        ),
         ("delivered, and given up", &story(Delivered, &[(9.0, Noticed(one))]), 12.0, &[Rule::Lost]),
         ("delivered, and sent again", &story(Delivered, &[(2.0, Called(one))]), 12.0, &[Rule::Lost]),
     ]);
