--- a/crates/scale/src/standins/clients.rs
+++ b/crates/scale/src/standins/clients.rs
@@ -90,7 +90,8 @@
         let again_until = Instant::now() + AGAIN;
         while kept && ended(&status) {
             sent = self.record.now();
-            status = self.exchange(id, ttl);
+            // The time to live began with the first try.
+            status = self.exchange(id, ttl.saturating_sub(began.elapsed()));
             let refused = status.as_ref().is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused);
             if !refused || Instant::now() > again_until {
                 break;
