A good answer two seconds after the first of three refusals is a return from an outage

Cause: refusals put tries off by up to eight times, so that the last of them came within two seconds of the first, and the next try found the destination back; nothing had made an outage of it. Change: what the failures tell is looked at once more as the first call goes well. Other failures do not count there (the row on a few resets stands). Test: a row in decisions.rs failed before (38 calls at once, 25 allowed).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -176,6 +176,9 @@
         // The first of several webhooks in a call stands for all.
         let call = self.routes.get(ep).and_then(|r| r.calls.iter().find(|c| c.webhooks.contains(&id)));
         let sent_at = call.filter(|c| !c.judged).map(|c| c.at);
+        if sent_at.is_some() && outcome == Outcome::Delivered {
+            self.watch_for_return(ep);
+        }
         let full = self.end_call(id, ep, outcome, took, report);
         if let Some(sent_at) = sent_at {
             self.watch_for_outage(ep, outcome, sent_at);
--- a/src/logic/cold_budget.rs
+++ b/src/logic/cold_budget.rs
@@ -105,6 +105,18 @@
         }
     }
 
+    /// A call went well where others were turned away for a while: it was out until just now, though the tries that were
+    /// put off left too few refusals to tell.
+    pub(super) fn watch_for_return(&mut self, ep: &str) {
+        let Some((ep, r)) = self.routes.get_key_value(ep) else { return };
+        let scope = Self::scope(ep, r);
+        let failing = self.meters.get(&scope).and_then(|m| m.failing);
+        let Some(failing) = failing.filter(|f| f.calls - f.lost >= OUTAGE_CALLS) else { return };
+        if self.now - failing.since > OUTAGE_SPAN && !self.routes_of(&scope).any(|(_, r)| r.outage) {
+            self.mark_outage(&scope, failing.since);
+        }
+    }
+
     /// An outage was seen: routes of its scope where no call sent after `since` went well come back cold.
     pub(super) fn mark_outage(&mut self, scope: &Scope, since: f64) {
         let all = || self.dests.get(&scope.0).map_or(&[][..], Vec::as_slice);
