--- a/crates/scale/src/soak/mod.rs
+++ b/crates/scale/src/soak/mod.rs
@@ -31,12 +31,16 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        let number = |text: &str| text.parse::<u64>().map_err(|e| format!("{text}: {e}"));
+        let number = |text: &str| text.parse::<u64>().map_err(|e| format!("--seeds takes A..B: {text}: {e}"));
         let (first, end) = match text.split_once("..") {
             Some((first, end)) => (number(first)?, number(end)?),
             None => (number(text)?, number(text)? + 1),
         };
-        if first < end { Ok(Seeds(first..end)) } else { Err(format!("{text}: names no seed")) }
+        if first < end {
+            Ok(Seeds(first..end))
+        } else {
+            Err(format!("--seeds takes A..B: {text} names no seed"))
+        }
     }
 }
 
@@ -53,13 +57,13 @@
     #[bpaf(long, argument("SEED"))]
     pub skip: Vec<u64>,
     /// Seconds of load for each seed
-    #[bpaf(long, argument("SECONDS"), fallback(20.0), display_fallback, guard(|s| (5.0..=3600.0).contains(s), "5 to 3600"))]
+    #[bpaf(long, argument("SECONDS"), fallback(20.0), display_fallback, guard(|s| (5.0..=3600.0).contains(s), "--seconds takes 5 to 3600"))]
     pub seconds: f64,
     /// Take a kind of fault out; may be given several times
     #[bpaf(long, argument::<Kind>("KIND"))]
     pub without: Vec<Kind>,
     /// Seeds side by side
-    #[bpaf(long, argument("N"), fallback(2), display_fallback, guard(|n| (1..=8).contains(n), "1 to 8"))]
+    #[bpaf(long, argument("N"), fallback(2), display_fallback, guard(|n| (1..=8).contains(n), "--jobs takes 1 to 8"))]
     pub jobs: usize,
     /// Copy the senders' logs to this folder
     #[bpaf(long, argument("DIR"))]
--- a/crates/scale/src/soak/plan.rs
+++ b/crates/scale/src/soak/plan.rs
@@ -140,7 +140,7 @@
     fn from_str(text: &str) -> Result<Self, String> {
         let found = Kind::ALL.iter().find(|(_, name)| *name == text).map(|(kind, _)| *kind);
         let names = || Kind::ALL.map(|(_, name)| name).join(", ");
-        found.ok_or_else(|| format!("{text} is no kind of fault; there are {}", names()))
+        found.ok_or_else(|| format!("--without: {text} is no kind of fault; there are {}", names()))
     }
 }
 
