--- a/crates/scale/src/soak/proxy.rs
+++ b/crates/scale/src/soak/proxy.rs
@@ -105,7 +105,7 @@
 }
 
 fn accept(listener: &TcpListener, listen: SocketAddr, to: SocketAddr, shared: &Arc<Shared>) {
-    let mut fillers: Vec<TcpStream> = Vec::new();
+    let (mut fillers, mut waited) = (Vec::<TcpStream>::new(), false);
     while !shared.over.is_set() {
         if shared.mode() == Mode::LateConnect {
             if fillers.is_empty() {
@@ -115,19 +115,30 @@
             std::thread::sleep(LOOK);
             continue;
         }
+        // What came up meanwhile waits in the listener's queue, perhaps with calls that its sender has given up since.
+        waited |= !fillers.is_empty();
         fillers.clear();
         match listener.accept() {
+            Ok((stream, _)) if waited && has_come_to_something(&stream) => reset(&stream),
             Ok((stream, _)) => {
                 let own = shared.clone();
                 // Where no thread can be had the connection ends, as on a machine that is short of them.
                 let _ =
                     std::thread::Builder::new().name("proxied".into()).spawn(move || pass(&stream, to, &own));
             }
-            Err(_) => std::thread::sleep(LOOK),
+            Err(_) => {
+                waited = false;
+                std::thread::sleep(LOOK);
+            }
         }
     }
 }
 
+/// Bytes have come on a new connection, or it has ended.
+fn has_come_to_something(stream: &TcpStream) -> bool {
+    look(stream, stream).is_none_or(|(near, _)| near.data || near.ended)
+}
+
 /// One connection, until it ends.
 fn pass(near: &TcpStream, to: SocketAddr, shared: &Shared) {
     let Ok(far) = TcpStream::connect(to) else { return reset(near) };
