--- a/crates/scale/src/soak/drawing.rs
+++ b/crates/scale/src/soak/drawing.rs
@@ -88,6 +88,11 @@
     Event { at, lasts: lasts.min(seconds - at), kind, target, amount }
 }
 
+/// The destination of a drain or a crash.
+fn destination(event: &Event) -> usize {
+    if event.kind == Kind::Crash { event.target } else { event.target / ENDPOINTS_EACH }
+}
+
 /// Whether both can be in one run, and it is still certain what is allowed.
 fn may_meet(event: &Event, other: &Event) -> bool {
     let same = event.target == other.target;
@@ -96,6 +101,10 @@
     if pair(Kind::Drain, Kind::DiscoverySilent) {
         return !event.meets(other, TOLD);
     }
+    // The return from a crash lists both endpoints of the destination anew.
+    if pair(Kind::Drain, Kind::Crash) && destination(event) == destination(other) {
+        return !event.meets(other, APART);
+    }
     let of_destination = |kind: Kind| kind.is_outage() || kind == Kind::Wait;
     let exclusive = event.kind == other.kind
         || both(Kind::ends_process)
--- a/crates/scale/tests/soak.rs
+++ b/crates/scale/tests/soak.rs
@@ -40,6 +40,14 @@
         let ways: BTreeSet<usize> =
             plan.events.iter().filter(|event| event.kind.is_on_the_way()).map(|event| event.target).collect();
         assert!(plan.events.iter().filter(drains).all(|drain| !ways.contains(&drain.target)), "{plan}");
+        // A crash lists its destination's endpoints as serving when it is over.
+        for crash in plan.events.iter().filter(|event| event.kind == Kind::Crash) {
+            let own = |drain: &&Event| drain.target / 2 == crash.target;
+            assert!(
+                plan.events.iter().filter(drains).filter(own).all(|drain| !drain.meets(crash, 0.5)),
+                "{plan}"
+            );
+        }
         let ends = plan.events.iter().filter(|event| event.kind.ends_process());
         assert!(ends.into_iter().all(|event| event.at > 0.5 && event.at < SECONDS), "{plan}");
     }
