--- a/crates/sender/tests/program/main.rs
+++ b/crates/sender/tests/program/main.rs
@@ -1,5 +1,6 @@
 //! Runs the built sender and tests it from outside, over loopback sockets and through its files.
 
+mod answers;
 mod backlog;
 mod clocks;
 mod crossings;
