A connection to an endpoint carries one call: no answer can end another call

Cause: whatever came on a connection was taken as the answer to the call that was out on it, and connections were used again at once. A second copy of an answer that came while the next call was out ended that call; from then on the answers on the connection were off by one.

Why it works: HTTP/1.1 numbers neither calls nor answers, so on a used connection a copy cannot be told from the answer. The first answer on a connection has none before it. Each call opens a connection, says Connection: close and closes it with the answer; bytes that come before the call is written keep it from being written. A call that is held back closes its connection too, so the pool of idle connections is gone. Each call has an id (CallId) that its log lines name.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -1,17 +1,19 @@
 //! Connects the event loop to the decision module. Events become inputs of the module; what it requests
 //! becomes journal records and actions for the event loop (the driver). The bridge itself decides nothing.
 
+mod calls;
+
 use crate::backlog::{Backlog, PendingWebhook};
 use crate::clients::{IncomingWebhook, Reply};
 use crate::clock;
 use crate::config::Config;
 use crate::counters::{Counters, WebhookEvent};
-use crate::endpoints::{self, AttemptResult, Call, CalledWebhook, OutgoingWebhook, ResponseHead};
+use crate::endpoints::CallId;
 use crate::journal::{AttemptHistory, FinalAnswer, Journal, Webhook, hash_ordering_key};
 use crate::list::{EndpointListUpdate, Health};
 use crate::notices::Notices;
 use crate::withheld::{RETRY_DELAY_SECS, WithheldAnswers};
-use scalebarrow::{ActionSink, ListUpdate, ListedEndpoint, Outcome, Sender};
+use scalebarrow::{ActionSink, ListUpdate, ListedEndpoint, Sender};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -38,8 +40,6 @@
 pub enum Action {
     /// Stop waiting for the attempt of the webhook with this number.
     CancelAttempt(u64),
-    /// Close the idle connections to the endpoint with this name.
-    CloseIdleConnections(String),
     /// Call [`Bridge::wake`] after this many seconds.
     WakeAfter(f64),
     /// Start or stop the watch of the endpoint list.
@@ -76,9 +76,8 @@
     fn watch_list(&mut self, enabled: bool) {
         self.actions.push(Action::WatchList(enabled));
     }
-    fn close_idle_connections(&mut self, endpoint: &str) {
-        self.actions.push(Action::CloseIdleConnections(endpoint.to_owned()));
-    }
+    // A connection carries one call and is closed with it, so none is ever idle.
+    fn close_idle_connections(&mut self, _endpoint: &str) {}
     fn log(&mut self, text: &str) {
         info!(text, "decision module");
     }
@@ -165,6 +164,7 @@
     recently_ended: BTreeSet<String>,
     recently_ended_order: VecDeque<String>,
     next_number: u64,
+    next_call_id: CallId,
     event_types: BTreeSet<String>,
     /// Whether responses of endpoints carry reports of the destination's limit.
     uses_limit_reports: bool,
@@ -191,6 +191,7 @@
             recently_ended: BTreeSet::new(),
             recently_ended_order: VecDeque::new(),
             next_number: journal.next_number(),
+            next_call_id: CallId::FIRST,
             event_types: config.event_types(),
             uses_limit_reports: config.responses_carry_reports(),
             journal,
@@ -519,8 +520,7 @@
             // Endpoints that left the list are not called again; calls in flight already have their
             // connection.
             let listed: BTreeSet<&str> = update.endpoints.iter().map(|entry| entry.name.as_str()).collect();
-            let removed = self.endpoints.extract_if(.., |name, _| !listed.contains(name.as_str()));
-            self.requested.actions.extend(removed.map(|(name, _)| Action::CloseIdleConnections(name)));
+            self.endpoints.retain(|name, _| listed.contains(name.as_str()));
         }
         for entry in &update.endpoints {
             let Some(destination) = entry.destination else { continue };
@@ -552,17 +552,12 @@
             });
             if entry.health == Health::Deleted {
                 self.endpoints.remove(&entry.name);
-                self.requested.actions.push(Action::CloseIdleConnections(entry.name.clone()));
                 continue;
             }
             let (address, zone, max_batch) =
                 (entry.address, entry.zone.clone(), self.config.max_batch(&entry.destination_kind));
-            let previous = self
-                .endpoints
-                .insert(entry.name.clone(), EndpointInfo { address, zone, max_batch, started_unix_ms });
-            if previous.is_some_and(|info| info.address != address) {
-                self.requested.actions.push(Action::CloseIdleConnections(entry.name.clone()));
-            }
+            let info = EndpointInfo { address, zone, max_batch, started_unix_ms };
+            self.endpoints.insert(entry.name.clone(), info);
         }
         let mode = match (remembered, update.is_complete) {
             (true, _) => ListUpdate::Remembered,
@@ -609,261 +604,6 @@
         self.apply_final_answers(now);
     }
 
-    /// A call ended, with one result for each of its webhooks.
-    pub fn call_ended(&mut self, now: f64, call: &Call, results: &[AttemptResult], response: &ResponseHead) {
-        let limit_report = response.limit_report.filter(|_| self.uses_limit_reports);
-        if response.retry_after > 0.0 {
-            debug!(
-                code = "wait",
-                ep = call.endpoint,
-                wait = response.retry_after,
-                status = response.status,
-                "the response asks for a delay"
-            );
-            self.sender.wait_requested(now, &call.endpoint, response.retry_after, &mut self.requested);
-        }
-        for (webhook, result) in call.webhooks.iter().zip(results) {
-            let CalledWebhook { number, id, attempt } = webhook;
-            self.counters.count(result.outcome.into());
-            let history_before = self.journal.attempt_history(*number);
-            let may_have_run = matches!(
-                result.outcome,
-                Outcome::Failed | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled
-            );
-            let late = |webhook: &Webhook| {
-                now > webhook.expires_at - LATE_DELIVERY_MARGIN_SECS && result.outcome == Outcome::Delivered
-            };
-            if result.is_final {
-                let late = self.journal.open_webhook(*number).is_some_and(|webhook| late(&webhook));
-                self.finish_webhook(
-                    now,
-                    *number,
-                    if late { FinalAnswer::DeadLettered } else { FinalAnswer::Over },
-                );
-            } else if let Some(attempt) = attempt
-                && let Err(e) = self.journal.record_attempt_end(*number, *attempt, may_have_run)
-            {
-                warn!(
-                    code = "journal-write",
-                    %e,
-                    "an outcome could not be recorded; the attempt may have run"
-                );
-            }
-            let is_final = !self.journal.is_open(*number);
-            let duration = now - call.decided_at;
-            let (endpoint, outcome, written) = (&call.endpoint, result.outcome, call.written);
-            debug!(
-                code = "back",
-                id,
-                number,
-                ep = endpoint,
-                ?outcome,
-                written,
-                took = duration,
-                over = is_final,
-                report = ?limit_report,
-                "an attempt ended"
-            );
-            self.log_if_may_have_run(now, *number, id, call, outcome, &history_before);
-            let requested = &mut self.requested;
-            self.sender.attempt_ended(
-                now,
-                *number,
-                &call.endpoint,
-                result.outcome,
-                duration,
-                is_final,
-                limit_report,
-                requested,
-            );
-            self.apply_final_answers(now);
-        }
-    }
-
-    /// If an earlier attempt for a webhook may have run, logs how an outcome changed its attempt history.
-    fn log_if_may_have_run(
-        &self, now: f64, number: u64, id: &str, call: &Call, outcome: Outcome,
-        history_before: &AttemptHistory,
-    ) {
-        if history_before.may_have_run.is_none() && history_before.in_flight.is_none() {
-            return;
-        }
-        let history_after = self.journal.attempt_history(number);
-        let (endpoint, written, open) = (&call.endpoint, call.written, self.journal.is_open(number));
-        let (may_have_run_before, may_have_run_after) =
-            (describe_first_attempt(history_before, now), describe_first_attempt(&history_after, now));
-        if written {
-            debug!(
-                code = "attempts",
-                id,
-                ep = endpoint,
-                ?outcome,
-                open,
-                may_have_run_before,
-                may_have_run_after,
-                "the first attempt that may have run, before and after this one"
-            );
-        } else {
-            info!(
-                code = "not-written",
-                id,
-                ep = endpoint,
-                ?outcome,
-                open,
-                may_have_run_before,
-                may_have_run_after,
-                "an attempt was not written; an earlier one may have run"
-            );
-        }
-    }
-
-    /// Takes the calls that the decision module has requested. Webhooks for the same endpoint share a call as
-    /// far as the destination's kind allows. The second list holds calls that cannot be made.
-    pub fn take_calls(&mut self, now: f64) -> (Vec<Call>, Vec<Call>) {
-        let mut calls: Vec<Call> = Vec::new();
-        let mut not_made = Vec::new();
-        for (number, endpoint, give_up_at) in std::mem::take(&mut self.requested.attempts) {
-            let (request, written) = (Vec::new(), false);
-            let id = self.journal.open_webhook(number).map(|webhook| webhook.id.clone());
-            let (max_batch, zone) =
-                self.endpoints.get(&endpoint).map_or((1, ""), |info| (info.max_batch, &info.zone));
-            let shared_call = calls
-                .iter_mut()
-                .rev()
-                .find(|call| call.endpoint == endpoint)
-                .filter(|call| call.webhooks.len() < max_batch);
-            match (id, shared_call) {
-                (Some(id), Some(call)) => {
-                    call.webhooks.push(CalledWebhook::new(number, id));
-                    call.give_up_at = call.give_up_at.min(give_up_at);
-                }
-                (id, _) => {
-                    let list = if id.is_some() { &mut calls } else { &mut not_made };
-                    let webhooks = vec![CalledWebhook::new(number, id.unwrap_or_default())];
-                    let zone = zone.to_owned();
-                    list.push(Call {
-                        endpoint,
-                        zone,
-                        webhooks,
-                        decided_at: now,
-                        give_up_at,
-                        write_deadline: give_up_at,
-                        request,
-                        written,
-                    });
-                }
-            }
-        }
-        for mut call in std::mem::take(&mut calls) {
-            let numbers = call.webhooks.iter().map(|webhook| webhook.number);
-            let webhooks: Vec<_> = numbers.filter_map(|number| self.journal.open_webhook(number)).collect();
-            let outgoing = webhooks.iter().map(|webhook| OutgoingWebhook {
-                id: &webhook.id,
-                token: webhook.token.as_deref(),
-                body: &webhook.body,
-            });
-            let outgoing: Vec<OutgoingWebhook> = outgoing.collect();
-            let host =
-                self.endpoints.get(&call.endpoint).map(|info| info.address.to_string()).unwrap_or_default();
-            let (endpoint, stop_in) = (&call.endpoint, call.give_up_at - now);
-            debug!(
-                code = "decided",
-                ids = ?call.webhooks,
-                ep = endpoint,
-                stop_in,
-                "an attempt is to be made"
-            );
-            match endpoints::encode_request(&outgoing, &host, call.give_up_at - now) {
-                Some(request) => calls.push(Call { request, ..call }),
-                None if call.webhooks.len() > 1 => {
-                    // Together they exceed the limit of a body: the first is sent, the others count as not
-                    // sent.
-                    let rest = call.webhooks.split_off(1);
-                    let (endpoint, zone, request) = (call.endpoint.clone(), call.zone.clone(), Vec::new());
-                    not_made.push(Call { endpoint, zone, webhooks: rest, request, ..call });
-                    if let Some(request) =
-                        endpoints::encode_request(&outgoing[..1], &host, call.give_up_at - now)
-                    {
-                        calls.push(Call { request, ..call });
-                    }
-                }
-                None => not_made.push(call),
-            }
-        }
-        (calls, not_made)
-    }
-
-    /// A call is about to be written, possibly long after it was decided, as its connection had to be opened
-    /// first. Checks whether it may still be sent, records its attempts and sets its write deadline.
-    pub fn prepare_write(&mut self, now: f64, call: &mut Call) -> WriteDecision {
-        let delay = now - call.decided_at;
-        if now >= call.give_up_at {
-            let (endpoint, count) = (&call.endpoint, call.webhooks.len());
-            self.counters.count(WebhookEvent::HeldBack);
-            info!(
-                code = "not-sent",
-                ep = endpoint,
-                count,
-                held = delay,
-                "the call timed out before its connection was open"
-            );
-            return WriteDecision::HoldBack;
-        }
-        for CalledWebhook { number, id, .. } in &call.webhooks {
-            if let Some(reason) = self.sender.not_sent_reason(now, *number, &call.endpoint) {
-                info!(
-                    code = "not-sent",
-                    id,
-                    ep = call.endpoint,
-                    held = delay,
-                    why = ?reason,
-                    "an attempt may no longer be sent"
-                );
-                self.counters.count(WebhookEvent::HeldBack);
-                return WriteDecision::HoldBack;
-            }
-        }
-        for webhook in &mut call.webhooks {
-            let CalledWebhook { number, id, attempt } = webhook;
-            debug!(
-                code = "out",
-                id,
-                number,
-                ep = call.endpoint,
-                zone = call.zone,
-                held = delay,
-                "an attempt goes out"
-            );
-            // Repeats are rare, and the first thing to look for when a webhook took effect twice.
-            let history = self.journal.attempt_history(*number);
-            self.counters.count(WebhookEvent::AttemptStarted);
-            if history.may_have_run.is_some() || history.in_flight.is_some() {
-                self.counters.count(WebhookEvent::AttemptRepeated);
-                let (endpoint, zone, first_attempt) =
-                    (&call.endpoint, &call.zone, describe_first_attempt(&history, now));
-                info!(
-                    code = "repeat",
-                    id,
-                    ep = endpoint,
-                    zone,
-                    tries = history.count,
-                    first = first_attempt,
-                    "an attempt is repeated; an earlier one may have run"
-                );
-            }
-            match self.journal.record_attempt_start(*number, &call.zone, now) {
-                Ok(recorded) => *attempt = recorded,
-                Err(e) => {
-                    error!(code = "journal-write", %e, "an attempt could not be recorded and is not made");
-                    return WriteDecision::JournalFailed;
-                }
-            }
-        }
-        let write_deadlines = call.webhooks.iter().map(|webhook| self.sender.write_deadline(webhook.number));
-        call.write_deadline = write_deadlines.fold(call.give_up_at, f64::min);
-        WriteDecision::Write
-    }
-
     /// Takes the actions that were requested of the driver.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.requested.actions)
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -478,13 +478,9 @@
             .map_or(1, |max_batch| (*max_batch).max(1))
     }
 
-    /// How long an idle connection to an endpoint stays open, and how long opening one may take.
-    pub fn connection_timeouts_secs(&self) -> (f64, f64) {
-        let call_limits = &self.settings.call_limits;
-        // The default connect timeout is how long common systems wait for the response to the first packet.
-        (
-            seconds_or(call_limits.connection_idle_ms, UNBOUNDED),
-            seconds_or(call_limits.connect_timeout_ms, 10.0),
-        )
+    /// How long opening a connection to an endpoint may take.
+    pub fn connect_timeout_secs(&self) -> f64 {
+        // The default is how long common systems wait for the response to the first packet.
+        seconds_or(self.settings.call_limits.connect_timeout_ms, 10.0)
     }
 }
--- a/crates/sender/src/driver/connection.rs
+++ b/crates/sender/src/driver/connection.rs
@@ -8,7 +8,7 @@
 use scalebarrow::Outcome;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
-use tracing::info;
+use tracing::{debug, info};
 
 /// Why a connection was closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +19,8 @@
     InvalidMessage,
     /// The call on it was cancelled.
     CallCancelled,
+    /// The call for which it was opened must not be written any more.
+    CallHeldBack,
     /// The process shuts down.
     ShuttingDown,
     /// It was idle for too long or is no longer needed.
@@ -48,6 +50,7 @@
             CloseReason::Completed => "answered",
             CloseReason::InvalidMessage => "bad-message",
             CloseReason::CallCancelled => "called-off",
+            CloseReason::CallHeldBack => "held-back",
             CloseReason::ShuttingDown => "closing",
             CloseReason::Idle => "idle",
             CloseReason::ServerMoved => "moved",
@@ -90,6 +93,8 @@
     pub(super) stream: TcpStream,
     pub(super) addr: SocketAddr,
     pub(super) peer: Peer,
+    /// When it was opened or accepted.
+    pub(super) opened_at: f64,
     /// False while the connection is being opened.
     pub(super) is_up: bool,
     /// The bytes to write, of which `written_bytes` are written.
@@ -153,12 +158,19 @@
             Peer::Endpoint(_) => self.endpoint_count += 1,
             _ => {}
         }
-        let (output, written_bytes, deadline, timer_at, close_reason) =
-            (Vec::new(), 0, f64::INFINITY, f64::INFINITY, None);
-        self.connections.insert(
-            id,
-            Connection { stream, addr, peer, is_up, output, written_bytes, deadline, timer_at, close_reason },
-        );
+        let connection = Connection {
+            stream,
+            addr,
+            peer,
+            opened_at: self.now,
+            is_up,
+            output: Vec::new(),
+            written_bytes: 0,
+            deadline: f64::INFINITY,
+            timer_at: f64::INFINITY,
+            close_reason: None,
+        };
+        self.connections.insert(id, connection);
         Ok(id)
     }
 
@@ -176,7 +188,13 @@
         let endpoint_name =
             if let Peer::Endpoint(endpoint) = &connection.peer { Some(endpoint.name.as_str()) } else { None };
         let reason = connection.close_reason.unwrap_or(reason);
-        info!(peer = connection.peer.name(), code = reason.code(), ep = endpoint_name, addr = %connection.addr, link = id, "connection closed");
+        let (peer, code, addr) = (connection.peer.name(), reason.code(), connection.addr);
+        // Each call to an endpoint ends like this.
+        if endpoint_name.is_some() && reason == CloseReason::Completed {
+            debug!(peer, code, ep = endpoint_name, %addr, link = id, "connection closed");
+        } else {
+            info!(peer, code, ep = endpoint_name, %addr, link = id, "connection closed");
+        }
         match connection.peer {
             Peer::Client(client) => {
                 self.client_count -= 1;
@@ -187,7 +205,6 @@
             }
             Peer::Endpoint(endpoint) => {
                 self.endpoint_count -= 1;
-                self.pool.remove(&endpoint.name, id);
                 for webhook in endpoint.call.iter().flat_map(|call| &call.webhooks) {
                     self.call_connections.remove(&webhook.number);
                 }
--- a/crates/sender/src/driver/endpoints.rs
+++ b/crates/sender/src/driver/endpoints.rs
@@ -4,47 +4,39 @@
 use super::connection::{CloseReason, Connection, Peer, ReadResult, has_no_input};
 use super::{Driver, READS_PER_ITERATION};
 use crate::bridge::WriteDecision;
-use crate::endpoints::{self, AttemptResult, Call, EndpointConnection, ResponseHead};
-use crate::http::DecodeError;
+use crate::endpoints::{AttemptResult, Call, EndpointConnection, ResponseHead};
+use crate::http::Message;
 use scalebarrow::Outcome;
-use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use tracing::{debug, warn};
 
 /// How long a response may take once its first byte was received. Endpoints write a response in one go, so
 /// one that is still incomplete then is treated as invalid, and its connection is closed.
 const RESPONSE_TIMEOUT_SECS: f64 = 0.4;
-/// An idle connection is closed this long before the endpoint would close it.
-const ENDPOINT_IDLE_MARGIN_SECS: f64 = 0.25;
+
+/// What was read from a connection to an endpoint.
+enum ResponseInput {
+    /// A complete response.
+    Response(Message<ResponseHead>),
+    /// Nothing, or a part of a response.
+    Incomplete,
+    /// Bytes that are not a response, or too many of them.
+    Invalid,
+    /// The end of the connection; a part of a response may have come before it.
+    Closed(CloseReason),
+}
 
 impl Driver {
-    /// Sends a call over an idle connection, or over a new one if the limit allows it.
+    /// Opens a connection for a call, if the limit allows it. The call is written once the connection is open.
     pub(super) fn start_call(&mut self, call: Call) {
-        while let Some(id) = self.pool.take(&call.endpoint) {
-            let Some(connection) = self.connections.get_mut(&id) else { continue };
-            // The endpoint has closed the connection or is about to: a request written to it would be lost.
-            if connection.deadline <= self.now || !has_no_input(&connection.stream) {
-                self.close(id, CloseReason::Stale);
-                continue;
-            }
-            if let Peer::Endpoint(endpoint) = &mut connection.peer {
-                endpoint.call = Some(call);
-                return self.send_call(id);
-            }
-        }
-        let is_full = self.endpoint_count >= self.max_endpoints;
-        if let Some(id) = self.pool.oldest().filter(|_| is_full) {
-            self.close(id, CloseReason::LimitReached);
-        }
         if self.endpoint_count >= self.max_endpoints {
             return self.failed_calls.push((call, Outcome::Moot(true)));
         }
         let Some(address) = self.bridge.endpoint_address(&call.endpoint) else {
             return self.failed_calls.push((call, Outcome::ConnectFailed));
         };
-        let (_, connect_timeout) = self.bridge.config().connection_timeouts_secs();
-        let deadline = call.give_up_at.min(self.now + connect_timeout);
-        debug!(code = "connecting", ep = call.endpoint, "opening a connection");
+        let deadline = call.give_up_at.min(self.now + self.bridge.config().connect_timeout_secs());
+        debug!(code = "connecting", call = %call.id, ep = call.endpoint, "opening a connection");
         match self.connect(address, Peer::Endpoint(EndpointConnection::new(call.endpoint.clone()))) {
             Ok(id) => {
                 self.call_connections.extend(call.webhooks.iter().map(|webhook| (webhook.number, id)));
@@ -66,9 +58,13 @@
         }
     }
 
-    /// Writes the call of a connection that is open and idle.
+    /// Writes the call of a connection that has just been opened.
     pub(super) fn send_call(&mut self, id: usize) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
+        // What came before the call is not the response to it.
+        if !has_no_input(&connection.stream) {
+            return self.abort_call(id, Outcome::Reset, CloseReason::Unexpected);
+        }
         let Peer::Endpoint(endpoint) = &mut connection.peer else { return };
         let Some(call) = &mut endpoint.call else { return };
         // Decided by the current time, not that of the iteration's start: the deadline for a repeat may have
@@ -79,18 +75,7 @@
         let decision =
             if is_same_address { self.bridge.prepare_write(now, call) } else { WriteDecision::HoldBack };
         if decision != WriteDecision::Write {
-            let call = endpoint.call.take();
-            for webhook in call.iter().flat_map(|call| &call.webhooks) {
-                self.call_connections.remove(&webhook.number);
-            }
-            self.failed_calls.extend(call.map(|call| (call, Outcome::Moot(true))));
-            // Only the call is held back: the connection can be used for another one.
-            let is_reusable = decision == WriteDecision::HoldBack;
-            return if is_reusable {
-                self.return_to_pool(id)
-            } else {
-                self.close(id, CloseReason::LimitReached)
-            };
+            return self.hold_back_call(id, decision);
         }
         connection.output = std::mem::take(&mut call.request);
         self.call_connections.extend(call.webhooks.iter().map(|webhook| (webhook.number, id)));
@@ -99,18 +84,21 @@
         self.endpoint_ready(id);
     }
 
-    /// Keeps an idle connection for the next call.
-    fn return_to_pool(&mut self, id: usize) {
-        let endpoint = endpoint_name(&self.connections, id);
-        // The endpoint was removed from the list, or its address changed, while the call was in flight.
-        if self.bridge.endpoint_address(&endpoint)
-            != self.connections.get(&id).map(|connection| connection.addr)
-        {
-            return self.close(id, CloseReason::Idle);
+    /// Ends a call that must not be written, and closes its connection.
+    fn hold_back_call(&mut self, id: usize, decision: WriteDecision) {
+        let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let call = endpoint.call.take();
+        for webhook in call.iter().flat_map(|call| &call.webhooks) {
+            self.call_connections.remove(&webhook.number);
         }
-        self.pool.put(&endpoint, id);
-        let (idle_timeout, _) = self.bridge.config().connection_timeouts_secs();
-        self.set_deadline(id, self.now + (idle_timeout - ENDPOINT_IDLE_MARGIN_SECS).max(idle_timeout / 2.0));
+        self.failed_calls.extend(call.map(|call| (call, Outcome::Moot(true))));
+        let reason = match decision {
+            WriteDecision::JournalFailed => CloseReason::LimitReached,
+            _ => CloseReason::CallHeldBack,
+        };
+        self.close(id, reason);
     }
 
     /// The write deadline of the call on a connection, if the call is not written completely yet.
@@ -135,84 +123,91 @@
         if write_deadline.is_some_and(|deadline| self.clock.now() >= deadline) {
             return self.abort_call(id, Outcome::TimedOut, CloseReason::Timeout);
         }
-        let mut close_reason = if self.flush(id) { None } else { Some(CloseReason::PeerReset) };
+        let close_reason = if self.flush(id) { None } else { Some(CloseReason::PeerReset) };
         if write_deadline.is_some() && self.pending_write_deadline(id).is_none() {
             self.await_response(id);
         }
-        let mut response = None;
-        for read_count in 0.. {
-            if read_count == READS_PER_ITERATION {
-                self.still_ready.insert(id);
-                break;
-            }
-            match self.read(id) {
-                ReadResult::Bytes(count) => {
-                    let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) =
-                        self.connections.get_mut(&id)
-                    else {
-                        return;
-                    };
-                    endpoint.decoder.feed(&self.read_buffer[..count]);
-                    // Decoded after each read, so that an endless response takes no more memory than a valid
-                    // one.
-                    response = response.or_else(|| endpoint.decoder.next_message().transpose());
-                    let (is_large, is_between_messages) = (
-                        endpoint.decoder.buffered_bytes() > SMALL_BUFFER_BYTES,
-                        endpoint.decoder.is_between_messages(),
-                    );
-                    if response.is_none() && is_large && self.buffers_full(false) {
-                        response = Some(Err(DecodeError::BodyTooBig));
-                    }
-                    if response.is_some() && !is_between_messages {
-                        break;
-                    }
-                }
-                ReadResult::WouldBlock => break,
-                ReadResult::Closed(reason) => {
-                    close_reason = Some(reason);
-                    break;
-                }
-            }
-        }
-        if response.is_some() || close_reason.is_some() {
+        let input = self.read_response(id, close_reason);
+        if !matches!(input, ResponseInput::Incomplete) {
             // The response was written before now, but may have arrived after this iteration started.
             self.now = self.clock.now();
         }
-        let Some(connection) = self.connections.get_mut(&id) else { return };
-        let Peer::Endpoint(endpoint) = &mut connection.peer else { return };
-        match response {
-            Some(Ok(response)) => {
-                let Some(call) = endpoint.call.take() else { return self.close(id, CloseReason::Unexpected) };
-                let is_reusable = close_reason.is_none()
-                    && response.keep_alive
-                    && call.written
-                    && endpoint.decoder.is_between_messages();
-                let webhook_ids: Vec<&str> =
-                    call.webhooks.iter().map(|webhook| webhook.id.as_str()).collect();
-                let results = endpoints::attempt_results(&response, &webhook_ids);
-                let is_invalid = results.is_none();
-                let results = results.unwrap_or_else(|| vec![Outcome::Reset.into(); webhook_ids.len()]);
-                self.call_ended(&call, &results, &response.head);
-                if !is_reusable || is_invalid {
-                    return self.close(
-                        id,
-                        if is_invalid { CloseReason::InvalidMessage } else { CloseReason::Completed },
-                    );
-                }
-                self.return_to_pool(id);
-            }
-            Some(Err(_)) => self.abort_call(id, Outcome::Reset, CloseReason::InvalidMessage),
-            None => {
-                let deadline = connection.deadline.min(self.now + RESPONSE_TIMEOUT_SECS);
-                if let Some(reason) = close_reason {
-                    self.abort_call(id, Outcome::Reset, reason);
-                } else if endpoint.call.is_none() && !endpoint.decoder.is_between_messages() {
-                    self.close(id, CloseReason::Unexpected);
-                } else if !endpoint.decoder.is_between_messages() {
-                    self.set_deadline(id, deadline);
+        match input {
+            ResponseInput::Response(response) => self.complete_call(id, &response),
+            ResponseInput::Invalid => self.abort_call(id, Outcome::Reset, CloseReason::InvalidMessage),
+            ResponseInput::Closed(reason) => self.abort_call(id, Outcome::Reset, reason),
+            ResponseInput::Incomplete => self.limit_response_time(id),
+        }
+    }
+
+    /// Reads up to the end of one response. `close_reason` is set if the connection is already known to be
+    /// broken.
+    fn read_response(&mut self, id: usize, close_reason: Option<CloseReason>) -> ResponseInput {
+        for _ in 0..READS_PER_ITERATION {
+            let count = match self.read(id) {
+                ReadResult::Bytes(count) => count,
+                ReadResult::WouldBlock => {
+                    return close_reason.map_or(ResponseInput::Incomplete, ResponseInput::Closed);
                 }
+                ReadResult::Closed(reason) => return ResponseInput::Closed(reason),
+            };
+            let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) = self.connections.get_mut(&id)
+            else {
+                return ResponseInput::Incomplete;
+            };
+            endpoint.decoder.feed(&self.read_buffer[..count]);
+            // Decoded after each read, so that an endless response takes no more memory than a valid one.
+            let is_large = match endpoint.decoder.next_message() {
+                Ok(Some(response)) => return ResponseInput::Response(response),
+                Ok(None) => endpoint.decoder.buffered_bytes() > SMALL_BUFFER_BYTES,
+                Err(_) => return ResponseInput::Invalid,
+            };
+            if is_large && self.buffers_full(false) {
+                return ResponseInput::Invalid;
             }
         }
+        self.still_ready.insert(id);
+        ResponseInput::Incomplete
+    }
+
+    /// Ends the call of a connection with its response and closes the connection: whatever may still come on
+    /// it must not be taken for the response to another call.
+    fn complete_call(&mut self, id: usize, response: &Message<ResponseHead>) {
+        let now = self.now;
+        let Some(Connection { peer: Peer::Endpoint(endpoint), opened_at, .. }) =
+            self.connections.get_mut(&id)
+        else {
+            return;
+        };
+        let age = now - *opened_at;
+        let Some(call) = endpoint.call.take() else { return };
+        debug!(
+            code = "answer",
+            call = %call.id,
+            ep = call.endpoint,
+            link = id,
+            age,
+            status = response.head.status,
+            written = call.written,
+            "a response ends a call"
+        );
+        let results = call.results(response);
+        let reason = if results.is_some() { CloseReason::Completed } else { CloseReason::InvalidMessage };
+        let results = results.unwrap_or_else(|| vec![Outcome::Reset.into(); call.webhooks.len()]);
+        self.call_ended(&call, &results, &response.head);
+        self.close(id, reason);
+    }
+
+    /// Limits the time for the rest of a response of which a part was received.
+    fn limit_response_time(&mut self, id: usize) {
+        let Some(Connection { peer: Peer::Endpoint(endpoint), deadline, .. }) = self.connections.get(&id)
+        else {
+            return;
+        };
+        if !endpoint.decoder.is_between_messages() {
+            let deadline = deadline.min(self.now + RESPONSE_TIMEOUT_SECS);
+            self.set_deadline(id, deadline);
+        }
     }
 
     /// Closes a connection and ends the call on it, if there is one. `outcome_if_no_response` applies unless
@@ -235,11 +230,3 @@
         self.bridge.call_ended(self.now, call, results, response);
     }
 }
-
-/// The name of the endpoint of a connection.
-fn endpoint_name(connections: &BTreeMap<usize, Connection>, id: usize) -> String {
-    match connections.get(&id).map(|connection| &connection.peer) {
-        Some(Peer::Endpoint(endpoint)) => endpoint.name.clone(),
-        _ => String::new(),
-    }
-}
--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -1,10 +1,16 @@
 //! Calls to endpoints: the encoding of requests, the meaning of responses, and the connections that carry
 //! them.
+//!
+//! A response ends a call only if it cannot belong to another call. HTTP/1.1 numbers neither calls nor
+//! responses, so on a connection that carried a call before, a second copy of the earlier response cannot be
+//! told from the response to the present call. A connection therefore carries one call: its first response
+//! has none before it.
 
 use crate::http::{Decoder, Headers, MAX_BODY_BYTES, Message, MessageHead, StartLine, decode_number};
 use crate::journal::AttemptNumber;
 use scalebarrow::Outcome;
 use std::collections::BTreeMap;
+use std::fmt;
 
 /// A response's body holds at most one line for each webhook of a call.
 const MAX_RESPONSE_BODY_BYTES: usize = MAX_BODY_BYTES;
@@ -20,10 +26,10 @@
 }
 
 /// Encodes the request for one webhook or for several; `None` if several do not fit in one body. The
-/// endpoint has `timeout_secs` to answer.
+/// endpoint has `timeout_secs` to answer. The connection carries no further call.
 pub fn encode_request(webhooks: &[OutgoingWebhook], host: &str, timeout_secs: f64) -> Option<Vec<u8>> {
     let timeout_ms = (timeout_secs * 1e3).max(0.0) as u64;
-    let common = format!("HTTP/1.1\r\nHost: {host}\r\nReq-Deadline: {timeout_ms}m\r\n");
+    let common = format!("HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\nReq-Deadline: {timeout_ms}m\r\n");
     if let [webhook] = webhooks {
         let token = webhook.token.map_or(String::new(), |token| format!("Idempotency-Key: {token}\r\n"));
         let length = webhook.body.len();
@@ -145,9 +151,31 @@
     }
 }
 
+/// Identifies a call; no other call of the process has the same id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId(u64);
+
+impl CallId {
+    /// The id of the first call of a process.
+    pub const FIRST: CallId = CallId(1);
+
+    /// The id of the call after this one.
+    pub fn next(self) -> CallId {
+        CallId(self.0 + 1)
+    }
+}
+
+impl fmt::Display for CallId {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
 /// A call that waits for its connection or is in flight.
 #[derive(Debug)]
 pub struct Call {
+    /// Its id.
+    pub id: CallId,
     /// The endpoint's name.
     pub endpoint: String,
     /// The endpoint's zone.
@@ -166,14 +194,23 @@
     pub written: bool,
 }
 
-/// A connection to an endpoint. It carries one call at a time.
+impl Call {
+    /// The results that a response means for the call's webhooks, in their order; `None` if the response's
+    /// body is malformed.
+    pub fn results(&self, response: &Message<ResponseHead>) -> Option<Vec<AttemptResult>> {
+        let ids: Vec<&str> = self.webhooks.iter().map(|webhook| webhook.id.as_str()).collect();
+        attempt_results(response, &ids)
+    }
+}
+
+/// A connection to an endpoint. It carries one call.
 #[derive(Debug)]
 pub struct EndpointConnection {
     /// The endpoint's name.
     pub name: String,
     /// The call that waits for the connection to open, or is in flight on it.
     pub call: Option<Call>,
-    /// Decodes the responses.
+    /// Decodes the response.
     pub decoder: Decoder<ResponseHead>,
 }
 
@@ -190,9 +227,8 @@
     ) -> (Vec<AttemptResult>, ResponseHead) {
         let count = call.webhooks.len();
         if let Some(response) = self.decoder.end_of_stream() {
-            let ids: Vec<&str> = call.webhooks.iter().map(|webhook| webhook.id.as_str()).collect();
-            let malformed = || vec![Outcome::Reset.into(); count];
-            return (attempt_results(&response, &ids).unwrap_or_else(malformed), response.head);
+            let results = call.results(&response);
+            return (results.unwrap_or_else(|| vec![Outcome::Reset.into(); count]), response.head);
         }
         // Of an incomplete or malformed response only a first line with 200 is trusted, if the call has one
         // webhook. Any other status, even one that means that nothing has run, counts as a call that may have
@@ -200,47 +236,13 @@
         let status =
             self.decoder.pending_head().map(|head| head.status).or_else(|| self.decoder.pending_status());
         let outcome = match status {
+            _ if !call.written => Outcome::ConnectFailed,
             Some(200) if count == 1 => Outcome::Delivered,
-            _ if call.written => outcome_if_no_response,
-            _ => Outcome::ConnectFailed,
+            _ => outcome_if_no_response,
         };
         (vec![outcome.into(); count], ResponseHead::default())
     }
 }
 
-/// The idle connections of each endpoint by connection id, the most recently used at the end.
-#[derive(Debug, Default)]
-pub struct ConnectionPool(BTreeMap<String, Vec<usize>>);
-
-impl ConnectionPool {
-    /// Adds a connection that has become idle.
-    pub fn put(&mut self, endpoint: &str, connection_id: usize) {
-        self.0.entry(endpoint.to_owned()).or_default().push(connection_id);
-    }
-
-    /// Takes the most recently used connection: it is the least likely to be closed by the endpoint soon.
-    pub fn take(&mut self, endpoint: &str) -> Option<usize> {
-        self.0.get_mut(endpoint)?.pop()
-    }
-
-    /// Removes a connection.
-    pub fn remove(&mut self, endpoint: &str, connection_id: usize) {
-        if let Some(connection_ids) = self.0.get_mut(endpoint) {
-            connection_ids.retain(|other_id| *other_id != connection_id);
-        }
-        self.0.retain(|_, connection_ids| !connection_ids.is_empty());
-    }
-
-    /// Takes all connections to an endpoint.
-    pub fn take_all(&mut self, endpoint: &str) -> Vec<usize> {
-        self.0.remove(endpoint).unwrap_or_default()
-    }
-
-    /// The connection that was opened first: the one to close when file descriptors run out.
-    pub fn oldest(&self) -> Option<usize> {
-        self.0.values().flatten().min().copied()
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/sender/src/endpoints/tests.rs
+++ b/crates/sender/src/endpoints/tests.rs
@@ -92,6 +92,7 @@
             ["a", "b"][..count].iter().map(|id| CalledWebhook::new(1, id.to_string())).collect();
         let (endpoint, zone, request) = (String::from("e"), String::new(), Vec::new());
         let call = Call {
+            id: CallId::FIRST,
             endpoint: endpoint.clone(),
             zone,
             webhooks,
