A notice has a connection of its own: no 204 acknowledges another notice

Webhooks that were given up could end without a notice at the platform: where the platform sent a 204 twice and cut a later notice unread, the copy counted as that notice's acknowledgement.

Cause: the same as for calls, on the connection for notices.

Why it works: each notice opens a connection and closes it with its answer, so the first answer has none before it; what comes before the notice is written does not acknowledge it, but repeats it. A notice that is repeated does no harm.

--- a/crates/sender/src/driver/connection.rs
+++ b/crates/sender/src/driver/connection.rs
@@ -37,8 +37,6 @@
     Refused,
     /// A deadline has passed.
     Timeout,
-    /// The peer has closed it, or is about to, while it was idle.
-    Stale,
     /// The peer sent a message that was not requested.
     Unexpected,
 }
@@ -60,7 +58,6 @@
             CloseReason::PeerReset => "peer-reset",
             CloseReason::Refused => "refused",
             CloseReason::Timeout => "silent",
-            CloseReason::Stale => "stale",
             CloseReason::Unexpected => "unasked",
         }
     }
@@ -133,6 +130,16 @@
     matches!(stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
 }
 
+/// Why a connection must not carry a request that is not written yet, if it must not: the peer has closed it,
+/// or has sent something that cannot be the response.
+pub(super) fn input_before_request(stream: &TcpStream) -> Option<CloseReason> {
+    match () {
+        () if has_no_input(stream) => None,
+        () if peer_has_closed(stream) => Some(CloseReason::PeerClosed),
+        () => Some(CloseReason::Unexpected),
+    }
+}
+
 /// True if the peer has closed its sending side or the connection is broken.
 pub(super) fn peer_has_closed(stream: &TcpStream) -> bool {
     match stream.peek(&mut [0]) {
--- a/crates/sender/src/driver/endpoints.rs
+++ b/crates/sender/src/driver/endpoints.rs
@@ -1,7 +1,7 @@
 //! Connections to the destinations' endpoints: sending calls and reading their responses.
 
 use super::budgets::SMALL_BUFFER_BYTES;
-use super::connection::{CloseReason, Connection, Peer, ReadResult, has_no_input};
+use super::connection::{CloseReason, Connection, Peer, ReadResult, input_before_request};
 use super::{Driver, READS_PER_ITERATION};
 use crate::bridge::WriteDecision;
 use crate::endpoints::{AttemptResult, Call, EndpointConnection, ResponseHead};
@@ -62,8 +62,8 @@
     pub(super) fn send_call(&mut self, id: usize) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         // What came before the call is not the response to it.
-        if !has_no_input(&connection.stream) {
-            return self.abort_call(id, Outcome::Reset, CloseReason::Unexpected);
+        if let Some(reason) = input_before_request(&connection.stream) {
+            return self.abort_call(id, Outcome::Reset, reason);
         }
         let Peer::Endpoint(endpoint) = &mut connection.peer else { return };
         let Some(call) = &mut endpoint.call else { return };
--- a/crates/sender/src/driver/notices.rs
+++ b/crates/sender/src/driver/notices.rs
@@ -1,37 +1,34 @@
-//! The connection over which the platform is notified of final answers.
+//! The connection over which the platform is notified of final answers. Each notice has one of its own: on a
+//! connection that carried a notice before, a second copy of its acknowledgement cannot be told from that of
+//! the next notice.
 
 use super::Driver;
-use super::connection::{CloseReason, Peer, ReadResult, has_no_input};
+use super::connection::{CloseReason, Peer, ReadResult, input_before_request};
 use super::timers::Timer;
 use crate::notices;
 
 impl Driver {
-    /// Sends the next notice, over the open connection or a new one.
+    /// Sends the next notice over a new connection.
     pub(super) fn send_notice(&mut self) {
-        if let Some(id) = self.notice_connection
-            && self.connections.get(&id).is_some_and(|connection| !has_no_input(&connection.stream))
-        {
-            self.close(id, CloseReason::Stale);
-        }
-        let id = match self.notice_connection {
-            Some(id) => Ok(id),
-            None => self.connect(self.discovery, Peer::Notices),
+        let Ok(id) = self.connect(self.discovery, Peer::Notices) else {
+            return self.notices_failed(CloseReason::NotConnected);
         };
-        let Ok(id) = id else { return self.notices_failed(CloseReason::NotConnected) };
         self.notice_connection = Some(id);
         let request = self.bridge.next_notice(&self.discovery);
         if let Some(connection) = self.connections.get_mut(&id) {
-            (connection.output, connection.written_bytes) = (request, 0);
-            let is_up = connection.is_up;
-            self.set_deadline(id, self.now + notices::ACK_TIMEOUT_SECS);
-            if is_up {
-                self.notices_ready(id);
-            }
+            connection.output = request;
         }
+        self.set_deadline(id, self.now + notices::ACK_TIMEOUT_SECS);
     }
 
     /// Writes the notice and reads its acknowledgement.
     pub(super) fn notices_ready(&mut self, id: usize) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        // What comes before the end of the notice does not acknowledge it.
+        let is_written = connection.output.is_empty();
+        if let Some(reason) = input_before_request(&connection.stream).filter(|_| !is_written) {
+            return self.notices_failed(reason);
+        }
         if !self.flush(id) {
             return self.notices_failed(CloseReason::PeerReset);
         }
@@ -40,12 +37,10 @@
             ReadResult::Closed(reason) => self.notices_failed(reason),
             ReadResult::Bytes(count) => match self.bridge.notices.feed(&self.read_buffer[..count]) {
                 Ok(None) => _ = self.still_ready.insert(id),
-                Ok(Some((acknowledged, keep_alive))) => {
+                Ok(Some(acknowledged)) => {
                     self.bridge.notices_acknowledged(&acknowledged);
-                    self.set_deadline(id, f64::INFINITY);
-                    if !keep_alive {
-                        self.close(id, CloseReason::Completed);
-                    }
+                    self.bridge.notices.connection_closed();
+                    self.close(id, CloseReason::Completed);
                 }
                 Err(_) => self.notices_failed(CloseReason::InvalidMessage),
             },
@@ -57,7 +52,7 @@
         if let Some(id) = self.notice_connection {
             self.close(id, reason);
         }
-        self.bridge.notices.connection_lost();
+        self.bridge.notices.connection_closed();
         self.next_notice_at = self.now + notices::RETRY_DELAY_SECS;
         self.set_timer(self.next_notice_at, Timer::Notices);
     }
--- a/crates/sender/src/driver/signals.rs
+++ b/crates/sender/src/driver/signals.rs
@@ -106,7 +106,7 @@
             if let Some(id) = self.list_connection {
                 self.close(id, CloseReason::ServerMoved);
             }
-            self.bridge.notices.connection_lost();
+            self.bridge.notices.connection_closed();
             self.next_notice_at = self.now;
             if let Some(id) = self.notice_connection {
                 self.close(id, CloseReason::ServerMoved);
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -93,9 +93,10 @@
             self.in_flight.push(number);
         }
         let length = body.len();
-        let mut request =
-            format!("POST /v1/outcomes HTTP/1.1\r\nHost: {host}\r\nContent-Length: {length}\r\n\r\n")
-                .into_bytes();
+        let mut request = format!(
+            "POST /v1/outcomes HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n"
+        )
+        .into_bytes();
         request.extend(body);
         request
     }
@@ -105,23 +106,19 @@
         &self.in_flight
     }
 
-    /// Reads a part of the response. Once the notice is acknowledged, returns the numbers of its webhooks and
-    /// whether the connection can be used again.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<(Vec<u64>, bool)>, DecodeError> {
+    /// Reads a part of the response. Once the notice is acknowledged, returns the numbers of its webhooks.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<Vec<u64>>, DecodeError> {
         self.decoder.feed(bytes);
         let Some(response) = self.decoder.next_message()? else { return Ok(None) };
         self.one_by_one = response.head.0 != 204;
         if self.one_by_one {
             return Err(DecodeError::Malformed);
         }
-        Ok(Some((
-            std::mem::take(&mut self.in_flight),
-            response.keep_alive && self.decoder.is_between_messages(),
-        )))
+        Ok(Some(std::mem::take(&mut self.in_flight)))
     }
 
-    /// The connection was lost: what was in flight is queued again, behind the rest.
-    pub fn connection_lost(&mut self) {
+    /// The connection was closed: what is still in flight is queued again, behind the rest.
+    pub fn connection_closed(&mut self) {
         self.decoder = Decoder::for_responses(MAX_RESPONSE_BODY_BYTES);
         self.queued.extend(self.in_flight.drain(..));
     }
