A response that comes before its call is written delivers nothing

A webhook could be lost: a 200, 410 or 500 that came while the call was still being written ended it as if it had run, though its last byte was never written.

Cause: the result was read from the status alone. Evidence: endpoints::tests::a_response_before_the_last_byte_of_the_call_delivers_nothing failed before (a 200 gave Delivered) and passes now. Such a response cannot answer the call: the connection is closed before the last byte, so the call never runs and counts as not connected; a refusal still asks for its wait.

--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -199,7 +199,17 @@
     /// body is malformed.
     pub fn results(&self, response: &Message<ResponseHead>) -> Option<Vec<AttemptResult>> {
         let ids: Vec<&str> = self.webhooks.iter().map(|webhook| webhook.id.as_str()).collect();
-        attempt_results(response, &ids)
+        let results = attempt_results(response, &ids)?;
+        if self.written {
+            return Some(results);
+        }
+        // A response that came before the last byte of the call does not answer it, and the call has not run,
+        // as its last byte is never written.
+        let not_run = |result: AttemptResult| match result.outcome {
+            Outcome::Full(_) => result,
+            _ => Outcome::ConnectFailed.into(),
+        };
+        Some(results.into_iter().map(not_run).collect())
     }
 }
 
--- a/crates/sender/src/endpoints/tests.rs
+++ b/crates/sender/src/endpoints/tests.rs
@@ -88,24 +88,46 @@
         ("HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nX: ", true, 1, Outcome::Delivered),
         ("HTTP/1.1 100 Go\r\n\r\n\u{7f}\u{3}", true, 1, Outcome::Reset),
     ] {
-        let webhooks: Vec<_> =
-            ["a", "b"][..count].iter().map(|id| CalledWebhook::new(1, id.to_string())).collect();
-        let (endpoint, zone, request) = (String::from("e"), String::new(), Vec::new());
-        let call = Call {
-            id: CallId::FIRST,
-            endpoint: endpoint.clone(),
-            zone,
-            webhooks,
-            decided_at: 0.0,
-            give_up_at: 1.0,
-            write_deadline: 1.0,
-            request,
-            written,
-        };
-        let mut connection = EndpointConnection::new(endpoint);
+        let call = call_of(&["a", "b"][..count], written);
+        let mut connection = EndpointConnection::new(call.endpoint.clone());
         connection.decoder.feed(received.as_bytes());
         let _ = connection.decoder.next_message();
         let (results, _) = connection.results_when_cut_short(&call, Outcome::Reset);
         assert_eq!(results, vec![AttemptResult::from(expected); count], "{received:?} {written}");
     }
 }
+
+/// A call of these webhooks.
+fn call_of(ids: &[&str], written: bool) -> Call {
+    Call {
+        id: CallId::FIRST,
+        endpoint: "e".into(),
+        zone: String::new(),
+        webhooks: ids.iter().map(|id| CalledWebhook::new(1, id.to_string())).collect(),
+        decided_at: 0.0,
+        give_up_at: 1.0,
+        write_deadline: 1.0,
+        request: Vec::new(),
+        written,
+    }
+}
+
+// Guards against a webhook that is lost because a response came before its call was written: the response
+// cannot be the answer to the call, which never runs.
+#[test]
+fn a_response_before_the_last_byte_of_the_call_delivers_nothing() {
+    for (received, expected) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", Outcome::ConnectFailed),
+        ("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", Outcome::ConnectFailed),
+        ("HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", Outcome::ConnectFailed),
+        ("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Outcome::Full(0.0)),
+        ("HTTP/1.1 429 No\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n", Outcome::Full(0.5)),
+    ] {
+        let mut decoder = EndpointConnection::new("e".into()).decoder;
+        decoder.feed(received.as_bytes());
+        let response = decoder.next_message().unwrap().unwrap();
+        let results = call_of(&["a"], false).results(&response).unwrap();
+        assert_eq!(results, [AttemptResult::from(expected)], "{received:?}");
+        assert!(!results[0].is_final, "{received:?}");
+    }
+}
