A list connection starts with an empty decoder: no answer is read one behind

A sender could learn of drains and removals one answer late for as long as it ran: where a list answer came twice in one segment, the connection was closed, but the copy stayed in the decoder and was read as the first answer on the next connection, whose own answer was then left over in turn.

Cause: the decoder was reset on failures only, not when a connection was replaced after an answer. Evidence: list::tests::a_copy_left_from_one_connection_is_not_read_on_the_next failed before (version 8, the copy, instead of 9) and passes now. ListClient::connection_opened is now the one place that resets it, for each new connection.

--- a/crates/sender/src/driver/list.rs
+++ b/crates/sender/src/driver/list.rs
@@ -15,6 +15,7 @@
         match self.connect(self.discovery, Peer::List) {
             Ok(id) => {
                 self.list_connection = Some(id);
+                self.list_client.connection_opened();
                 self.request_list(id);
             }
             Err(_) => self.list_failed(CloseReason::NotConnected),
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -136,6 +136,11 @@
         self.known_version
     }
 
+    /// A new connection is being opened. What is left of earlier ones is not read as a response on it.
+    pub fn connection_opened(&mut self) {
+        self.decoder = Decoder::for_responses(MAX_LIST_BYTES);
+    }
+
     /// The request to send now, and the timeout for its response in seconds.
     pub fn next_request(&self, server: &SocketAddr) -> (Vec<u8>, f64) {
         let (watch_ms, response_timeout_secs) = if self.pulls_list {
@@ -188,24 +193,21 @@
 
     /// The platform has a new address, where the complete list is requested.
     pub fn server_moved(&mut self) {
-        (self.decoder, self.known_version, self.consecutive_failures) =
-            (Decoder::for_responses(MAX_LIST_BYTES), None, 0);
+        (self.known_version, self.consecutive_failures) = (None, 0);
     }
 
     /// The platform refused the request, and the connection is closed. The known list is kept: the next
     /// request is for the changes since, and is sent only when it is due. An immediate request for the
     /// complete list would overload the platform.
     pub fn request_refused(&mut self) {
-        (self.decoder, self.consecutive_failures, self.watch_was_lost) =
-            (Decoder::for_responses(MAX_LIST_BYTES), self.consecutive_failures + 1, false);
+        (self.consecutive_failures, self.watch_was_lost) = (self.consecutive_failures + 1, false);
     }
 
     /// The connection is closed. True if the watch is to be resumed on a new one at once.
     pub fn connection_lost(&mut self) -> bool {
         let resumes_watch = self.known_version.is_some() && self.consecutive_failures == 0;
         self.watch_was_lost = resumes_watch;
-        (self.decoder, self.consecutive_failures) =
-            (Decoder::for_responses(MAX_LIST_BYTES), self.consecutive_failures + 1);
+        self.consecutive_failures += 1;
         if !resumes_watch {
             // It is unknown which changes the platform counts as received, so the complete list is requested.
             self.known_version = None;
--- a/crates/sender/src/list/tests.rs
+++ b/crates/sender/src/list/tests.rs
@@ -136,3 +136,17 @@
         assert!(total_secs <= limit_secs + 1e-9, "{total_secs} s for a lost watch");
     }
 }
+
+// Guards against answers that are one behind: what was left of an answer that came twice was read as the first
+// answer on the next connection.
+#[test]
+fn a_copy_left_from_one_connection_is_not_read_on_the_next() {
+    let mut list = ListClient::new(7, false);
+    list.connection_opened();
+    let twice = [update_response(8, true), update_response(8, true)].concat();
+    let (update, keep_alive) = list.feed(&twice).unwrap().unwrap();
+    assert_eq!((update.version, keep_alive), (8, false));
+    list.connection_opened();
+    let (update, keep_alive) = list.feed(&update_response(9, false)).unwrap().unwrap();
+    assert_eq!((update.version, keep_alive), (9, true));
+}
