An older complete list is taken only as the first answer of its connection

Calls could go to an endpoint that was removed or draining: where a complete list came again after a newer one, the copy was taken as the present list.

Cause: a lower version was refused for changes but not for complete lists, as a platform that lost its state counts anew. Evidence: list::tests::an_older_complete_list_is_taken_only_as_the_first_answer_of_a_connection failed before (the older list was returned) and passes now. Only the first answer on a connection has no answer before it, so only there a lower version means that the platform counts anew; elsewhere the watch is resumed on a new connection at once.

--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -106,6 +106,8 @@
 /// version, or requests the complete list if none is known.
 pub struct ListClient {
     decoder: Decoder<StatusHead>,
+    /// No response has come on the connection yet.
+    awaits_first_response: bool,
     /// The version of the known list; none if the complete list has to be requested.
     known_version: Option<u64>,
     /// Requests that failed since the last success. After the first failure a lost watch is resumed on a new
@@ -124,6 +126,7 @@
     pub fn new(known_version: u64, pulls_list: bool) -> Self {
         ListClient {
             decoder: Decoder::for_responses(MAX_LIST_BYTES),
+            awaits_first_response: true,
             known_version: Some(known_version),
             consecutive_failures: 0,
             watch_was_lost: false,
@@ -139,6 +142,7 @@
     /// A new connection is being opened. What is left of earlier ones is not read as a response on it.
     pub fn connection_opened(&mut self) {
         self.decoder = Decoder::for_responses(MAX_LIST_BYTES);
+        self.awaits_first_response = true;
     }
 
     /// The request to send now, and the timeout for its response in seconds.
@@ -176,6 +180,7 @@
         self.decoder.feed(bytes);
         let message = self.decoder.next_message().map_err(|_| ListError::InvalidResponse)?;
         let Some(response) = message else { return Ok(None) };
+        let is_first_response = std::mem::replace(&mut self.awaits_first_response, false);
         match response.head.0 {
             200 => {}
             429 | 503 => return Err(ListError::Refused),
@@ -183,8 +188,11 @@
         }
         let update: EndpointListUpdate =
             serde_json::from_slice(&response.body).map_err(|_| ListError::InvalidResponse)?;
-        // A lower version means that the platform lost its state and counts anew: changes would be missed.
-        if !update.is_complete && self.known_version.is_some_and(|known| update.version < known) {
+        // A lower version means that the platform lost its state and counts anew: changes would be missed. A
+        // complete list misses none, but unless it is the first response of the connection, it may be a late
+        // or second response to an earlier request.
+        let is_current = update.is_complete && is_first_response;
+        if !is_current && self.known_version.is_some_and(|known| update.version < known) {
             return Err(ListError::InvalidResponse);
         }
         (self.known_version, self.consecutive_failures) = (Some(update.version), 0);
--- a/crates/sender/src/list/tests.rs
+++ b/crates/sender/src/list/tests.rs
@@ -150,3 +150,20 @@
     let (update, keep_alive) = list.feed(&update_response(9, false)).unwrap().unwrap();
     assert_eq!((update.version, keep_alive), (9, true));
 }
+
+// Guards against calls to an endpoint that was removed: a complete list that came again, after a newer one, on
+// the same connection was taken as the present list.
+#[test]
+fn an_older_complete_list_is_taken_only_as_the_first_answer_of_a_connection() {
+    let mut list = ListClient::new(7, false);
+    list.connection_opened();
+    for version in [8, 9] {
+        assert_eq!(list.feed(&update_response(version, true)).unwrap().unwrap().0.version, version);
+    }
+    assert_eq!(list.feed(&update_response(8, true)).unwrap_err(), ListError::InvalidResponse);
+    assert!(list.connection_lost(), "the watch is resumed at once");
+    assert_eq!(list.known_version(), Some(9));
+    // A platform that lost its state counts anew.
+    list.connection_opened();
+    assert_eq!(list.feed(&update_response(2, true)).unwrap().unwrap().0.version, 2);
+}
