A webhook whose second request was accepted is not withdrawn with the first

A client that read a 202 could lose its webhook: handed in twice under one id, on two connections, it was withdrawn when the connection of the first request broke before its 202 was written, though the second request had been answered 202.

Cause: the 202 for a known id left no trace, so the withdrawal named a webhook where it meant one request. Evidence: bridge test a_webhook_whose_second_request_was_accepted_is_not_withdrawn_with_the_first failed before (no call) and passes now. A webhook that was accepted again stays, whatever becomes of the first connection.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -162,6 +162,8 @@
     list_updated_at: f64,
     /// The ids of the webhooks that ended last, also in the order in which they did.
     recently_ended: BTreeSet<String>,
+    /// Open webhooks that were handed in more than once, each time with the same id.
+    accepted_again: BTreeSet<u64>,
     recently_ended_order: VecDeque<String>,
     next_number: u64,
     next_call_id: CallId,
@@ -189,6 +191,7 @@
             backlog_paused_until: None,
             list_updated_at: now,
             recently_ended: BTreeSet::new(),
+            accepted_again: BTreeSet::new(),
             recently_ended_order: VecDeque::new(),
             next_number: journal.next_number(),
             next_call_id: CallId::FIRST,
@@ -353,6 +356,7 @@
             return;
         }
         self.backlog.remove(number);
+        self.accepted_again.remove(&number);
         let (webhook, attempt_count) =
             (self.journal.open_webhook(number), self.journal.attempt_history(number).count);
         let written = self.journal.record_final_answer(number, answer);
@@ -403,7 +407,9 @@
     pub fn hand_in(&mut self, now: f64, incoming: IncomingWebhook, body: Vec<u8>) -> (Reply, Option<u64>) {
         // It is handed in again because the client's connection was closed, or by another client.
         // What was accepted first stays as it is, whether it is still open or has just ended.
-        if self.recently_ended.contains(&incoming.id) || self.journal.find_open(&incoming.id).is_some() {
+        let open_number = self.journal.find_open(&incoming.id);
+        if self.recently_ended.contains(&incoming.id) || open_number.is_some() {
+            self.accepted_again.extend(open_number);
             self.counters.count(WebhookEvent::Duplicate);
             debug!(code = "known", id = incoming.id, "a webhook with this id was accepted before");
             return (Reply::Accepted, None);
@@ -492,8 +498,11 @@
     }
 
     /// The client disconnected before it received the whole response to its webhook: the webhook is
-    /// withdrawn.
+    /// withdrawn, unless another request for it was accepted.
     pub fn withdraw(&mut self, now: f64, number: u64) {
+        if self.accepted_again.contains(&number) {
+            return;
+        }
         if let Some(webhook) = self.journal.open_webhook(number) {
             let id = &webhook.id;
             self.counters.count(WebhookEvent::Withdrawn);
--- a/crates/sender/tests/bridge.rs
+++ b/crates/sender/tests/bridge.rs
@@ -33,18 +33,14 @@
     Bridge::open(Config::decode(CONFIG.as_bytes()).unwrap(), journal, now)
 }
 
-fn hand_in(bridge: &mut Bridge, now: f64, id: &str, key: &str, remaining_secs: f64) -> Reply {
+fn incoming(id: &str, key: &str, remaining_secs: f64) -> IncomingWebhook {
     let (id, event_type, ordering_key) = (id.to_owned(), "e".to_owned(), Some(key.to_owned()));
-    let incoming = IncomingWebhook {
-        id,
-        event_type,
-        destination: 1,
-        ordering_key,
-        customer: None,
-        token: None,
-        remaining_secs,
-    };
-    bridge.hand_in(now, incoming, b"body".to_vec()).0
+    let (customer, token) = (None, None);
+    IncomingWebhook { id, event_type, destination: 1, ordering_key, customer, token, remaining_secs }
+}
+
+fn hand_in(bridge: &mut Bridge, now: f64, id: &str, key: &str, remaining_secs: f64) -> Reply {
+    bridge.hand_in(now, incoming(id, key, remaining_secs), b"body".to_vec()).0
 }
 
 /// The webhook ids of the calls that the decision module has requested.
@@ -163,19 +159,23 @@
     let folder = create_folder("withdrawn");
     fill(&folder);
     let mut bridge = open(&folder, 101.0);
-    let (id, event_type, ordering_key) = ("gone".to_owned(), "e".to_owned(), Some("key-0".to_owned()));
-    let incoming = IncomingWebhook {
-        id,
-        event_type,
-        destination: 1,
-        ordering_key,
-        customer: None,
-        token: None,
-        remaining_secs: 50.0,
-    };
-    let (reply, number) = bridge.hand_in(101.0, incoming, Vec::new());
+    let (reply, number) = bridge.hand_in(101.0, incoming("gone", "key-0", 50.0), Vec::new());
     assert_eq!(reply, Reply::Accepted);
     bridge.withdraw(101.0, number.unwrap());
     drop(bridge);
     assert_eq!(Journal::open(&folder, MAX_BYTES, &BootReading::now()).unwrap().0.open_count(), 350);
 }
+
+// Guards against a webhook that is lost although its client read a 202: it was handed in twice, and when the
+// connection of the first request broke, the answer to the second one did not count.
+#[test]
+fn a_webhook_whose_second_request_was_accepted_is_not_withdrawn_with_the_first() {
+    let folder = create_folder("accepted-twice");
+    let mut bridge = open(&folder, 100.0);
+    let (_, number) = bridge.hand_in(100.0, incoming("twice", "key", 50.0), Vec::new());
+    assert_eq!(hand_in(&mut bridge, 100.1, "twice", "key", 50.0), Reply::Accepted);
+    bridge.withdraw(100.2, number.unwrap());
+    assert_eq!(called_ids(&mut bridge, 100.2), ["twice"]);
+    drop(bridge);
+    assert_eq!(Journal::open(&folder, MAX_BYTES, &BootReading::now()).unwrap().0.open_count(), 1);
+}
