Connections to endpoints that take batches are used again: their answers name webhooks

One call on each connection costs a handshake a call. Where the settings allow several webhooks in a call, a call of one goes out as a batch too: a 200 names the webhooks of its call. Such a connection is used again only after a 200 that names all webhooks of its call as finished, so a later answer that names webhooks tells its call, and any other status cannot be a copy of an earlier answer. A 200 that names only others is a copy: it is skipped, and the wait goes on (Attribution, EndpointConnection).

Two tests of batches now expect a batch of one; new: the table a_response_on_a_used_connection_counts_only_if_it_names_its_call and answers::a_copy_of_a_batch_answer_is_skipped_and_the_503_behind_it_counts.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -40,6 +40,8 @@
 pub enum Action {
     /// Stop waiting for the attempt of the webhook with this number.
     CancelAttempt(u64),
+    /// Close the idle connections to the endpoint with this name.
+    CloseIdleConnections(String),
     /// Call [`Bridge::wake`] after this many seconds.
     WakeAfter(f64),
     /// Start or stop the watch of the endpoint list.
@@ -76,8 +78,9 @@
     fn watch_list(&mut self, enabled: bool) {
         self.actions.push(Action::WatchList(enabled));
     }
-    // A connection carries one call and is closed with it, so none is ever idle.
-    fn close_idle_connections(&mut self, _endpoint: &str) {}
+    fn close_idle_connections(&mut self, endpoint: &str) {
+        self.actions.push(Action::CloseIdleConnections(endpoint.to_owned()));
+    }
     fn log(&mut self, text: &str) {
         info!(text, "decision module");
     }
@@ -529,7 +532,8 @@
             // Endpoints that left the list are not called again; calls in flight already have their
             // connection.
             let listed: BTreeSet<&str> = update.endpoints.iter().map(|entry| entry.name.as_str()).collect();
-            self.endpoints.retain(|name, _| listed.contains(name.as_str()));
+            let removed = self.endpoints.extract_if(.., |name, _| !listed.contains(name.as_str()));
+            self.requested.actions.extend(removed.map(|(name, _)| Action::CloseIdleConnections(name)));
         }
         for entry in &update.endpoints {
             let Some(destination) = entry.destination else { continue };
@@ -561,12 +565,16 @@
             });
             if entry.health == Health::Deleted {
                 self.endpoints.remove(&entry.name);
+                self.requested.actions.push(Action::CloseIdleConnections(entry.name.clone()));
                 continue;
             }
             let (address, zone, max_batch) =
                 (entry.address, entry.zone.clone(), self.config.max_batch(&entry.destination_kind));
             let info = EndpointInfo { address, zone, max_batch, started_unix_ms };
-            self.endpoints.insert(entry.name.clone(), info);
+            let previous = self.endpoints.insert(entry.name.clone(), info);
+            if previous.is_some_and(|info| info.address != address) {
+                self.requested.actions.push(Action::CloseIdleConnections(entry.name.clone()));
+            }
         }
         let mode = match (remembered, update.is_complete) {
             (true, _) => ListUpdate::Remembered,
--- a/crates/sender/src/bridge/calls.rs
+++ b/crates/sender/src/bridge/calls.rs
@@ -3,7 +3,7 @@
 
 use super::{Bridge, LATE_DELIVERY_MARGIN_SECS, WriteDecision, describe_first_attempt};
 use crate::counters::WebhookEvent;
-use crate::endpoints::{self, AttemptResult, Call, CalledWebhook, OutgoingWebhook, ResponseHead};
+use crate::endpoints::{self, AttemptResult, Call, CallForm, CalledWebhook, OutgoingWebhook, ResponseHead};
 use crate::journal::{AttemptHistory, FinalAnswer, Webhook};
 use scalebarrow::Outcome;
 use tracing::{debug, error, info, warn};
@@ -162,11 +162,14 @@
     ) -> Call {
         let id = self.next_call_id;
         self.next_call_id = id.next();
-        let zone = self.endpoints.get(&endpoint).map(|info| info.zone.clone()).unwrap_or_default();
+        let info = self.endpoints.get(&endpoint);
+        let zone = info.map(|info| info.zone.clone()).unwrap_or_default();
+        let takes_batches = info.is_some_and(|info| info.max_batch > 1);
         Call {
             id,
             endpoint,
             zone,
+            form: if takes_batches { CallForm::Batch } else { CallForm::Single },
             webhooks,
             decided_at: now,
             give_up_at,
@@ -211,7 +214,7 @@
         });
         let outgoing: Vec<OutgoingWebhook> = outgoing.collect();
         let host = self.endpoints.get(&call.endpoint).map(|info| info.address.to_string());
-        endpoints::encode_request(&outgoing, &host.unwrap_or_default(), timeout_secs)
+        endpoints::encode_request(&outgoing, call.form, &host.unwrap_or_default(), timeout_secs)
     }
 
     /// A call is about to be written, possibly long after it was decided, as its connection had to be opened
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -478,6 +478,11 @@
             .map_or(1, |max_batch| (*max_batch).max(1))
     }
 
+    /// How long an idle connection to an endpoint stays open.
+    pub fn connection_idle_secs(&self) -> f64 {
+        seconds_or(self.settings.call_limits.connection_idle_ms, UNBOUNDED)
+    }
+
     /// How long opening a connection to an endpoint may take.
     pub fn connect_timeout_secs(&self) -> f64 {
         // The default is how long common systems wait for the response to the first packet.
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -14,7 +14,7 @@
 use crate::bridge::Bridge;
 use crate::clock::{BootReading, Clock};
 use crate::config::Config;
-use crate::endpoints::Call;
+use crate::endpoints::{Call, ConnectionPool};
 use crate::journal::Journal;
 use crate::list::ListClient;
 use budgets::{max_buffered_bytes, max_connections};
@@ -66,6 +66,8 @@
     /// Memory limit for incomplete messages, once for clients and once for endpoints.
     max_buffered_bytes: usize,
     bridge: Bridge,
+    /// The idle connections to endpoints.
+    pool: ConnectionPool,
     /// The id of the connection that carries a webhook's call, by the webhook's number.
     call_connections: BTreeMap<u64, usize>,
     /// Calls that failed before they were sent; the bridge is notified in the next iteration.
@@ -146,6 +148,7 @@
         max_endpoints,
         max_buffered_bytes,
         bridge,
+        pool: ConnectionPool::default(),
         call_connections: BTreeMap::new(),
         failed_calls: Vec::new(),
         discovery,
--- a/crates/sender/src/driver/connection.rs
+++ b/crates/sender/src/driver/connection.rs
@@ -212,6 +212,7 @@
             }
             Peer::Endpoint(endpoint) => {
                 self.endpoint_count -= 1;
+                self.pool.remove(&endpoint.name, id);
                 for webhook in endpoint.call.iter().flat_map(|call| &call.webhooks) {
                     self.call_connections.remove(&webhook.number);
                 }
--- a/crates/sender/src/driver/endpoints.rs
+++ b/crates/sender/src/driver/endpoints.rs
@@ -4,15 +4,19 @@
 use super::connection::{CloseReason, Connection, Peer, ReadResult, input_before_request};
 use super::{Driver, READS_PER_ITERATION};
 use crate::bridge::WriteDecision;
-use crate::endpoints::{AttemptResult, Call, EndpointConnection, ResponseHead};
+use crate::endpoints::{
+    AttemptResult, Attribution, Call, CallEnd, CallForm, CallId, EndpointConnection, ResponseHead,
+};
 use crate::http::Message;
 use scalebarrow::Outcome;
 use std::io::ErrorKind;
-use tracing::{debug, warn};
+use tracing::{debug, info, warn};
 
 /// How long a response may take once its first byte was received. Endpoints write a response in one go, so
 /// one that is still incomplete then is treated as invalid, and its connection is closed.
 const RESPONSE_TIMEOUT_SECS: f64 = 0.4;
+/// An idle connection is closed this long before the endpoint would close it.
+const ENDPOINT_IDLE_MARGIN_SECS: f64 = 0.25;
 
 /// What was read from a connection to an endpoint.
 enum ResponseInput {
@@ -27,8 +31,40 @@
 }
 
 impl Driver {
-    /// Opens a connection for a call, if the limit allows it. The call is written once the connection is open.
+    /// Sends a call over an idle connection, if it may use one, or over a new one.
     pub(super) fn start_call(&mut self, call: Call) {
+        let idle_connection =
+            if call.form == CallForm::Batch { self.take_idle_connection(&call.endpoint) } else { None };
+        let Some(id) = idle_connection else { return self.open_connection_for(call) };
+        if let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) = self.connections.get_mut(&id) {
+            endpoint.call = Some(call);
+            self.send_call(id);
+        }
+    }
+
+    /// Takes an idle connection to an endpoint on which nothing has come since its last call.
+    fn take_idle_connection(&mut self, endpoint: &str) -> Option<usize> {
+        while let Some(id) = self.pool.take(endpoint) {
+            let Some(connection) = self.connections.get(&id) else { continue };
+            // A request to an endpoint that is about to close the connection would be lost.
+            let reason = input_before_request(&connection.stream)
+                .or(Some(CloseReason::Idle).filter(|_| connection.deadline <= self.now));
+            match reason {
+                None => return Some(id),
+                Some(CloseReason::Idle) => self.close(id, CloseReason::Idle),
+                // Reads what has come, and closes the connection.
+                Some(_) => self.endpoint_ready(id),
+            }
+        }
+        None
+    }
+
+    /// Opens a connection for a call, if the limit allows it. The call is written once the connection is open.
+    fn open_connection_for(&mut self, call: Call) {
+        let is_full = self.endpoint_count >= self.max_endpoints;
+        if let Some(id) = self.pool.oldest().filter(|_| is_full) {
+            self.close(id, CloseReason::LimitReached);
+        }
         if self.endpoint_count >= self.max_endpoints {
             return self.failed_calls.push((call, Outcome::Moot(true)));
         }
@@ -58,7 +94,7 @@
         }
     }
 
-    /// Writes the call of a connection that has just been opened.
+    /// Writes the call of a connection that has just been opened, or was idle.
     pub(super) fn send_call(&mut self, id: usize) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         // What came before the call is not the response to it.
@@ -84,21 +120,22 @@
         self.endpoint_ready(id);
     }
 
-    /// Ends a call that must not be written, and closes its connection.
+    /// Ends a call that must not be written. Its connection is kept if calls to the endpoint may share one.
     fn hold_back_call(&mut self, id: usize, decision: WriteDecision) {
         let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) = self.connections.get_mut(&id) else {
             return;
         };
-        let call = endpoint.call.take();
-        for webhook in call.iter().flat_map(|call| &call.webhooks) {
+        let Some(call) = endpoint.call.take() else { return };
+        for webhook in &call.webhooks {
             self.call_connections.remove(&webhook.number);
         }
-        self.failed_calls.extend(call.map(|call| (call, Outcome::Moot(true))));
-        let reason = match decision {
-            WriteDecision::JournalFailed => CloseReason::LimitReached,
-            _ => CloseReason::CallHeldBack,
-        };
-        self.close(id, reason);
+        let form = call.form;
+        self.failed_calls.push((call, Outcome::Moot(true)));
+        match (decision, form) {
+            (WriteDecision::JournalFailed, _) => self.close(id, CloseReason::LimitReached),
+            (_, CallForm::Batch) => self.return_to_pool(id),
+            (_, CallForm::Single) => self.close(id, CloseReason::CallHeldBack),
+        }
     }
 
     /// The write deadline of the call on a connection, if the call is not written completely yet.
@@ -132,6 +169,9 @@
             // The response was written before now, but may have arrived after this iteration started.
             self.now = self.clock.now();
         }
+        if !self.has_call(id) {
+            return self.handle_unsolicited_input(id, input);
+        }
         match input {
             ResponseInput::Response(response) => self.complete_call(id, &response),
             ResponseInput::Invalid => self.abort_call(id, Outcome::Reset, CloseReason::InvalidMessage),
@@ -140,10 +180,23 @@
         }
     }
 
+    /// Whether a call waits or is in flight on a connection.
+    fn has_call(&self, id: usize) -> bool {
+        let peer = self.connections.get(&id).map(|connection| &connection.peer);
+        matches!(peer, Some(Peer::Endpoint(EndpointConnection { call: Some(_), .. })))
+    }
+
     /// Reads up to the end of one response. `close_reason` is set if the connection is already known to be
     /// broken.
     fn read_response(&mut self, id: usize, close_reason: Option<CloseReason>) -> ResponseInput {
-        for _ in 0..READS_PER_ITERATION {
+        for read_count in 0.. {
+            // Decoded after each read, so that an endless response takes no more memory than a valid one.
+            if let Some(input) = self.decode_response(id) {
+                return input;
+            }
+            if read_count == READS_PER_ITERATION {
+                break;
+            }
             let count = match self.read(id) {
                 ReadResult::Bytes(count) => count,
                 ReadResult::WouldBlock => {
@@ -151,27 +204,27 @@
                 }
                 ReadResult::Closed(reason) => return ResponseInput::Closed(reason),
             };
-            let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) = self.connections.get_mut(&id)
-            else {
-                return ResponseInput::Incomplete;
-            };
-            endpoint.decoder.feed(&self.read_buffer[..count]);
-            // Decoded after each read, so that an endless response takes no more memory than a valid one.
-            let is_large = match endpoint.decoder.next_message() {
-                Ok(Some(response)) => return ResponseInput::Response(response),
-                Ok(None) => endpoint.decoder.buffered_bytes() > SMALL_BUFFER_BYTES,
-                Err(_) => return ResponseInput::Invalid,
-            };
-            if is_large && self.buffers_full(false) {
-                return ResponseInput::Invalid;
+            if let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) = self.connections.get_mut(&id) {
+                endpoint.decoder.feed(&self.read_buffer[..count]);
             }
         }
         self.still_ready.insert(id);
         ResponseInput::Incomplete
     }
 
-    /// Ends the call of a connection with its response and closes the connection: whatever may still come on
-    /// it must not be taken for the response to another call.
+    /// Decodes the bytes read so far. `None` if there is no complete response yet.
+    fn decode_response(&mut self, id: usize) -> Option<ResponseInput> {
+        let Peer::Endpoint(endpoint) = &mut self.connections.get_mut(&id)?.peer else { return None };
+        let is_large = match endpoint.decoder.next_message() {
+            Ok(Some(response)) => return Some(ResponseInput::Response(response)),
+            Ok(None) => endpoint.decoder.buffered_bytes() > SMALL_BUFFER_BYTES,
+            Err(_) => return Some(ResponseInput::Invalid),
+        };
+        (is_large && self.buffers_full(false)).then_some(ResponseInput::Invalid)
+    }
+
+    /// Ends the call of a connection with a response that belongs to it. The connection is closed unless
+    /// whatever may still come on it can be told from the response to another call.
     fn complete_call(&mut self, id: usize, response: &Message<ResponseHead>) {
         let now = self.now;
         let Some(Connection { peer: Peer::Endpoint(endpoint), opened_at, .. }) =
@@ -179,23 +232,85 @@
         else {
             return;
         };
-        let age = now - *opened_at;
-        let Some(call) = endpoint.call.take() else { return };
+        let Some(call) = &endpoint.call else { return };
+        let CallEnd { attribution, results, is_reusable } = endpoint.evaluate(call, response);
         debug!(
             code = "answer",
             call = %call.id,
             ep = call.endpoint,
             link = id,
-            age,
+            calls_before = endpoint.ended_calls,
+            age = now - *opened_at,
             status = response.head.status,
             written = call.written,
-            "a response ends a call"
+            ?attribution,
+            "a response came"
         );
-        let results = call.results(response);
-        let reason = if results.is_some() { CloseReason::Completed } else { CloseReason::InvalidMessage };
-        let results = results.unwrap_or_else(|| vec![Outcome::Reset.into(); call.webhooks.len()]);
+        if attribution == Attribution::Unsolicited {
+            return self.skip_unsolicited_response(id);
+        }
+        let is_reusable = is_reusable && endpoint.decoder.is_between_messages();
+        let Some(call) = endpoint.take_ended_call() else { return };
         self.call_ended(&call, &results, &response.head);
-        self.close(id, reason);
+        match attribution {
+            _ if is_reusable => self.return_to_pool(id),
+            Attribution::Unconfirmed => self.close(id, CloseReason::InvalidMessage),
+            _ => self.close(id, CloseReason::Completed),
+        }
+    }
+
+    /// Goes on waiting for the response to a call after one that belongs to an earlier call.
+    fn skip_unsolicited_response(&mut self, id: usize) {
+        self.log_unsolicited_response(id);
+        self.await_response(id);
+        self.still_ready.insert(id);
+    }
+
+    /// Handles what came on an idle connection.
+    fn handle_unsolicited_input(&mut self, id: usize, input: ResponseInput) {
+        let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) = self.connections.get(&id) else {
+            return;
+        };
+        match input {
+            ResponseInput::Closed(reason) => self.close(id, reason),
+            ResponseInput::Incomplete if endpoint.decoder.is_between_messages() => {}
+            _ => {
+                self.log_unsolicited_response(id);
+                self.close(id, CloseReason::Unexpected);
+            }
+        }
+    }
+
+    /// Logs that a response came on a connection that is not the response to a call in flight.
+    fn log_unsolicited_response(&self, id: usize) {
+        let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) = self.connections.get(&id) else {
+            return;
+        };
+        let name_call = |call_id: Option<CallId>| call_id.map_or_else(String::new, |id| id.to_string());
+        let (last_call, call) =
+            (name_call(endpoint.last_call), name_call(endpoint.call.as_ref().map(|call| call.id)));
+        info!(
+            code = "unsolicited-response",
+            ep = endpoint.name,
+            link = id,
+            last_call,
+            call,
+            "a response came that answers no call in flight"
+        );
+    }
+
+    /// Keeps an idle connection for the next call.
+    fn return_to_pool(&mut self, id: usize) {
+        let Some(Connection { peer: Peer::Endpoint(endpoint), addr, .. }) = self.connections.get(&id) else {
+            return;
+        };
+        // The endpoint was removed from the list, or its address changed, while the call was in flight.
+        if self.bridge.endpoint_address(&endpoint.name) != Some(*addr) {
+            return self.close(id, CloseReason::Idle);
+        }
+        self.pool.put(&endpoint.name, id);
+        let idle_timeout = self.bridge.config().connection_idle_secs();
+        self.set_deadline(id, self.now + (idle_timeout - ENDPOINT_IDLE_MARGIN_SECS).max(idle_timeout / 2.0));
     }
 
     /// Limits the time for the rest of a response of which a part was received.
--- a/crates/sender/src/driver/event_loop.rs
+++ b/crates/sender/src/driver/event_loop.rs
@@ -65,6 +65,11 @@
             match action {
                 Action::WakeAfter(delay_secs) => self.set_timer(self.now + delay_secs, Timer::Wake),
                 Action::WatchList(is_watched) => self.list_wanted = is_watched,
+                Action::CloseIdleConnections(endpoint) => {
+                    for id in self.pool.take_all(&endpoint) {
+                        self.close(id, CloseReason::Idle);
+                    }
+                }
                 Action::CancelAttempt(webhook_number) => {
                     // A response that was already received counts.
                     let id = self.call_connections.get(&webhook_number).copied();
--- a/crates/sender/src/endpoints/tests.rs
+++ b/crates/sender/src/endpoints/tests.rs
@@ -41,7 +41,8 @@
     for (status, headers, body, ids, expected) in cases {
         let length = body.len();
         let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
-        let results = attempt_results(&decode_response(&text).unwrap().unwrap(), ids);
+        let form = form_of(ids);
+        let results = attempt_results(&decode_response(&text).unwrap().unwrap(), form, ids);
         assert_eq!(results, expected, "{text}");
     }
 }
@@ -97,12 +98,18 @@
     }
 }
 
+/// The form of a call of these webhooks, if it can have either.
+fn form_of(ids: &[&str]) -> CallForm {
+    if ids.len() == 1 { CallForm::Single } else { CallForm::Batch }
+}
+
 /// A call of these webhooks.
 fn call_of(ids: &[&str], written: bool) -> Call {
     Call {
         id: CallId::FIRST,
         endpoint: "e".into(),
         zone: String::new(),
+        form: form_of(ids),
         webhooks: ids.iter().map(|id| CalledWebhook::new(1, id.to_string())).collect(),
         decided_at: 0.0,
         give_up_at: 1.0,
@@ -131,3 +138,39 @@
         assert!(!results[0].is_final, "{received:?}");
     }
 }
+
+// Guards against a response that ends another call than its own: on a connection that carried calls before,
+// only what names the webhooks of a batch tells which call it belongs to.
+#[test]
+fn a_response_on_a_used_connection_counts_only_if_it_names_its_call() {
+    let delivered = AttemptResult::from(Outcome::Delivered);
+    let (failed, reset) = (AttemptResult::from(Outcome::Failed), AttemptResult::from(Outcome::Reset));
+    let batch = |ids: &[&str]| Call { form: CallForm::Batch, ..call_of(ids, true) };
+    let refused = AttemptResult::from(Outcome::Full(0.0));
+    // The call, calls before it on the connection, the response's status and body, and its attribution, the
+    // first result, and whether the connection can be used again.
+    for (call, ended_calls, status, body, attribution, first_result, is_reusable) in [
+        (call_of(&["a"], true), 0, 200, "", Attribution::Confirmed, delivered, false),
+        (call_of(&["a"], true), 1, 200, "", Attribution::Unconfirmed, reset, false),
+        (call_of(&["a"], true), 1, 503, "", Attribution::Unconfirmed, reset, false),
+        (batch(&["a"]), 0, 200, "a ok\r\n", Attribution::Confirmed, delivered, true),
+        (batch(&["a"]), 1, 200, "a ok\r\n", Attribution::Confirmed, delivered, true),
+        (batch(&["a"]), 1, 200, "b ok\r\n", Attribution::Unsolicited, reset, false),
+        (batch(&["a"]), 1, 200, "", Attribution::Unconfirmed, reset, false),
+        (batch(&["a"]), 1, 200, "a what\r\n", Attribution::Unconfirmed, reset, false),
+        (batch(&["a"]), 1, 200, "a ok\r\nb ok\r\n", Attribution::Unconfirmed, reset, false),
+        (batch(&["a"]), 1, 503, "", Attribution::Confirmed, refused, false),
+        // What a repeat could be answered with ends the use of the connection.
+        (batch(&["a"]), 1, 200, "a later\r\n", Attribution::Confirmed, refused, false),
+        (batch(&["a"]), 1, 200, "a error\r\n", Attribution::Confirmed, failed, false),
+        (batch(&["b", "a"]), 1, 200, "a ok\r\n", Attribution::Confirmed, failed, false),
+    ] {
+        let mut connection = EndpointConnection::new("e".into());
+        connection.ended_calls = ended_calls;
+        let text = format!("HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let end = connection.evaluate(&call, &decode_response(&text).unwrap().unwrap());
+        let name = format!("{:?} after {ended_calls}: {status} {body:?}", call.form);
+        assert_eq!((end.attribution, end.is_reusable), (attribution, is_reusable), "{name}");
+        assert_eq!(end.results[0], first_result, "{name}");
+    }
+}
--- a/crates/sender/tests/program/answers.rs
+++ b/crates/sender/tests/program/answers.rs
@@ -220,6 +220,33 @@
     endpoint.wait_for_call("idem-2");
 }
 
+/// A response that reports the webhooks of a batch as delivered.
+fn batch_response(call: &HttpMessage) -> String {
+    let body = String::from_utf8_lossy(&call.body);
+    let ids = body.lines().filter(|line| !line.is_empty()).filter_map(|line| line.split(' ').next());
+    let lines: String = ids.map(|id| format!("{id} ok\r\n")).collect();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{lines}", lines.len())
+}
+
+// Guards against a batch that is ended by the answer to the batch before it on the connection: its webhook was
+// refused with 503, but would count as possibly run, or as delivered.
+#[test]
+fn a_copy_of_a_batch_answer_is_skipped_and_the_503_behind_it_counts() {
+    let endpoint = with_copying_endpoint("bulk", |number, call| match number {
+        3 => answer(50, UNAVAILABLE_RESPONSE),
+        _ => answer(0, &batch_response(call)),
+    });
+    for id in ["idem-0", "idem-1", "idem-2"] {
+        endpoint.deliver(id);
+    }
+    // Not to be repeated unless the refusal is known to be its own.
+    endpoint.submit("once", "once-3");
+    endpoint.wait_for_call("once-3");
+    endpoint.wait_for_call("once-3");
+    endpoint.program.wait_for_log("code=\"unsolicited-response\"", 2);
+    endpoint.program.wait_for_log("calls_before=2", 1);
+}
+
 /// Starts a platform that answers each notice with 204 twice: the second copy comes when the next notice on
 /// the connection arrives, which is then cut without being read. Returns the notices that were read.
 fn start_copying_platform(list: String) -> (SocketAddr, Receiver<String>) {
