Log and count whose answer came: call ids, attribution, close codes in the field's words

The report's logs could not tell which call an answer ended, nor whether a copy came while a call was out. New: answer lines (debug) with call, connection, calls before on it, its age, time since its last answer, status and attribution; unsolicited-response and unconfirmed-response lines (info) and counts; connections-opened. One test names a code and follows. No wire form and no setting changes.

--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -6,7 +6,7 @@
 /// Time between two log lines with counts.
 const LOG_INTERVAL_SECS: f64 = 10.0;
 
-/// What can happen to a webhook or to an attempt for it.
+/// What can happen to a webhook, to an attempt for it, or on a connection to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(usize)]
 pub enum WebhookEvent {
@@ -50,11 +50,17 @@
     Withdrawn,
     /// The final answer is not reported until it is recorded.
     Withheld,
+    /// A connection to an endpoint is being opened.
+    ConnectionOpened,
+    /// A response came that may belong to the call in flight or to an earlier one.
+    UnconfirmedResponse,
+    /// A response came that answers no call in flight.
+    UnsolicitedResponse,
 }
 
 impl WebhookEvent {
     /// All events with their names in the log, in the order of the variants.
-    pub const ALL: [(WebhookEvent, &'static str); 20] = [
+    pub const ALL: [(WebhookEvent, &'static str); 23] = [
         (WebhookEvent::Accepted, "taken"),
         (WebhookEvent::Duplicate, "known"),
         (WebhookEvent::Rejected, "rejected"),
@@ -75,6 +81,9 @@
         (WebhookEvent::DeadLettered, "dead-lettered"),
         (WebhookEvent::Withdrawn, "withdrawn"),
         (WebhookEvent::Withheld, "withheld"),
+        (WebhookEvent::ConnectionOpened, "connections-opened"),
+        (WebhookEvent::UnconfirmedResponse, "unconfirmed-response"),
+        (WebhookEvent::UnsolicitedResponse, "unsolicited-response"),
     ];
 }
 
--- a/crates/sender/src/driver/connection.rs
+++ b/crates/sender/src/driver/connection.rs
@@ -37,28 +37,28 @@
     Refused,
     /// A deadline has passed.
     Timeout,
-    /// The peer sent a message that was not requested.
-    Unexpected,
+    /// The peer sent a response to no request.
+    UnsolicitedResponse,
 }
 
 impl CloseReason {
     /// The value of the log field `code`.
     fn code(self) -> &'static str {
         match self {
-            CloseReason::Completed => "answered",
-            CloseReason::InvalidMessage => "bad-message",
-            CloseReason::CallCancelled => "called-off",
+            CloseReason::Completed => "completed",
+            CloseReason::InvalidMessage => "invalid-message",
+            CloseReason::CallCancelled => "cancelled",
             CloseReason::CallHeldBack => "held-back",
-            CloseReason::ShuttingDown => "closing",
+            CloseReason::ShuttingDown => "shutting-down",
             CloseReason::Idle => "idle",
-            CloseReason::ServerMoved => "moved",
-            CloseReason::LimitReached => "no-room",
-            CloseReason::NotConnected => "not-up",
+            CloseReason::ServerMoved => "server-moved",
+            CloseReason::LimitReached => "limit-reached",
+            CloseReason::NotConnected => "connect-failed",
             CloseReason::PeerClosed => "peer-closed",
             CloseReason::PeerReset => "peer-reset",
             CloseReason::Refused => "refused",
-            CloseReason::Timeout => "silent",
-            CloseReason::Unexpected => "unasked",
+            CloseReason::Timeout => "timeout",
+            CloseReason::UnsolicitedResponse => "unsolicited-response",
         }
     }
 }
@@ -136,7 +136,7 @@
     match () {
         () if has_no_input(stream) => None,
         () if peer_has_closed(stream) => Some(CloseReason::PeerClosed),
-        () => Some(CloseReason::Unexpected),
+        () => Some(CloseReason::UnsolicitedResponse),
     }
 }
 
--- a/crates/sender/src/driver/endpoints.rs
+++ b/crates/sender/src/driver/endpoints.rs
@@ -4,6 +4,7 @@
 use super::connection::{CloseReason, Connection, Peer, ReadResult, input_before_request};
 use super::{Driver, READS_PER_ITERATION};
 use crate::bridge::WriteDecision;
+use crate::counters::WebhookEvent;
 use crate::endpoints::{
     AttemptResult, Attribution, Call, CallEnd, CallForm, CallId, EndpointConnection, ResponseHead,
 };
@@ -72,6 +73,7 @@
             return self.failed_calls.push((call, Outcome::ConnectFailed));
         };
         let deadline = call.give_up_at.min(self.now + self.bridge.config().connect_timeout_secs());
+        self.bridge.counters.count(WebhookEvent::ConnectionOpened);
         debug!(code = "connecting", call = %call.id, ep = call.endpoint, "opening a connection");
         match self.connect(address, Peer::Endpoint(EndpointConnection::new(call.endpoint.clone()))) {
             Ok(id) => {
@@ -241,6 +243,7 @@
             link = id,
             calls_before = endpoint.ended_calls,
             age = now - *opened_at,
+            since_last_answer = endpoint.last_ended_at.map(|ended_at| now - ended_at),
             status = response.head.status,
             written = call.written,
             ?attribution,
@@ -250,11 +253,15 @@
             return self.skip_unsolicited_response(id);
         }
         let is_reusable = is_reusable && endpoint.decoder.is_between_messages();
-        let Some(call) = endpoint.take_ended_call() else { return };
+        let Some(call) = endpoint.take_ended_call(now) else { return };
         self.call_ended(&call, &results, &response.head);
         match attribution {
             _ if is_reusable => self.return_to_pool(id),
-            Attribution::Unconfirmed => self.close(id, CloseReason::InvalidMessage),
+            Attribution::Unconfirmed => {
+                self.bridge.counters.count(WebhookEvent::UnconfirmedResponse);
+                info!(code = "unconfirmed-response", call = %call.id, ep = call.endpoint, link = id, "a response may belong to an earlier call");
+                self.close(id, CloseReason::InvalidMessage)
+            }
             _ => self.close(id, CloseReason::Completed),
         }
     }
@@ -276,13 +283,14 @@
             ResponseInput::Incomplete if endpoint.decoder.is_between_messages() => {}
             _ => {
                 self.log_unsolicited_response(id);
-                self.close(id, CloseReason::Unexpected);
+                self.close(id, CloseReason::UnsolicitedResponse);
             }
         }
     }
 
     /// Logs that a response came on a connection that is not the response to a call in flight.
-    fn log_unsolicited_response(&self, id: usize) {
+    fn log_unsolicited_response(&mut self, id: usize) {
+        self.bridge.counters.count(WebhookEvent::UnsolicitedResponse);
         let Some(Connection { peer: Peer::Endpoint(endpoint), .. }) = self.connections.get(&id) else {
             return;
         };
--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -306,6 +306,8 @@
     pub call: Option<Call>,
     /// The last call that ended on it.
     pub last_call: Option<CallId>,
+    /// When that one ended.
+    pub last_ended_at: Option<f64>,
     /// Calls that ended on it.
     pub ended_calls: u32,
     /// Decodes the responses.
@@ -316,13 +318,13 @@
     /// A connection without a call.
     pub fn new(name: String) -> Self {
         let decoder = Decoder::for_responses(MAX_RESPONSE_BODY_BYTES);
-        EndpointConnection { name, call: None, last_call: None, ended_calls: 0, decoder }
+        EndpointConnection { name, call: None, last_call: None, last_ended_at: None, ended_calls: 0, decoder }
     }
 
     /// Takes the call in flight, which has ended.
-    pub fn take_ended_call(&mut self) -> Option<Call> {
+    pub fn take_ended_call(&mut self, now: f64) -> Option<Call> {
         let call = self.call.take()?;
-        self.last_call = Some(call.id);
+        (self.last_call, self.last_ended_at) = (Some(call.id), Some(now));
         self.ended_calls += 1;
         Some(call)
     }
--- a/crates/sender/tests/program/descriptors.rs
+++ b/crates/sender/tests/program/descriptors.rs
@@ -130,7 +130,7 @@
     let clients = ReconnectingClients::start(program.listen_address);
     clients.wait_for_responses(3 * CLIENTS);
     assert_eq!(descriptor_errors(&program), [""; 0]);
-    program.wait_for_log("peer=\"client\" code=\"no-room\"", CLIENTS);
+    program.wait_for_log("peer=\"client\" code=\"limit-reached\"", CLIENTS);
     let wait_for_free_descriptors = |count: usize| {
         let started_at = Instant::now();
         while program.descriptor_count() < MAX_DESCRIPTORS - count {
