Soak: answers, notices, lists and requests that come twice, cut, split or misframed

New kinds, drawn apart so that the other faults of a seed stay as they are: copy-answers (lags to 1 s, while the endpoint answers now 200, now 503), interim-, split-answers, extra-, missing-bytes, copy-acknowledgements, cut-notices, copy-lists, repeat- and split-requests; half of the seeds allow batches, and the receivers name their webhooks.

The proxy accepts without a pause.

--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -135,6 +135,7 @@
         &self, number: u16, listen_address: SocketAddr, list_address: SocketAddr, max_sockets: usize,
     ) -> SenderSettings {
         SenderSettings {
+            max_batch: 1,
             number,
             sender_count: self.sender_count + self.hollow_count,
             listen_address,
--- a/crates/scale/src/settings.rs
+++ b/crates/scale/src/settings.rs
@@ -33,6 +33,8 @@
     pub rates_listed: bool,
     /// Whether the sender requests the endpoint list; otherwise an agent beside the sender is sent it.
     pub pulls_list: bool,
+    /// The most webhooks in one call.
+    pub max_batch: usize,
 }
 
 impl SenderSettings {
@@ -61,7 +63,7 @@
             },
             "classes": EventType::ALL.map(class_json),
             "family-info": {
-                "bundle-max": [1], "decay": "by_half", "routes-apart": [false], "slots": self.slots,
+                "bundle-max": [self.max_batch], "decay": "by_half", "routes-apart": [false], "slots": self.slots,
             },
             "instances": self.sender_count, "me": self.number,
             "membership-mode": if self.pulls_list { "ask" } else { "push" },
--- a/crates/scale/src/soak/clients.rs
+++ b/crates/scale/src/soak/clients.rs
@@ -4,7 +4,7 @@
 use super::plan::RunSettings;
 use crate::interrupt::StopFlag;
 use crate::random::SeededRng;
-use crate::standins::clients::{Client, HandInResult};
+use crate::standins::clients::{Client, HandInResult, RequestForm, SharedRequestForm};
 use crate::standins::id::{EventType, WebhookId};
 use crate::standins::receivers::SharedJudge;
 use std::io::{ErrorKind, Read, Write};
@@ -41,6 +41,7 @@
     destination_count: u32,
     ttl: Duration,
     ordered: bool,
+    request_form: SharedRequestForm,
 }
 
 impl ClientFactory {
@@ -56,12 +57,20 @@
             destination_count: settings.destination_count,
             ttl: Duration::from_secs_f64(settings.ttl_secs),
             ordered: settings.ordered,
+            request_form: SharedRequestForm::default(),
         }
     }
 
     /// A client with a connection of its own.
     pub fn client(&self) -> Client {
-        Client::new(self.address, self.judge.clone(), BODY_BYTES)
+        let mut client = Client::new(self.address, self.judge.clone(), BODY_BYTES);
+        client.request_form = self.request_form.clone();
+        client
+    }
+
+    /// Sets how the clients write their requests from now on.
+    pub fn set_request_form(&self, form: RequestForm) {
+        self.request_form.set(form);
     }
 
     /// The id of a new webhook.
--- a/crates/scale/src/soak/fault_injection.rs
+++ b/crates/scale/src/soak/fault_injection.rs
@@ -7,8 +7,10 @@
 use super::testbed::{SERVICE_TIME, SenderUnderTest, Testbed};
 use crate::error::Error;
 use crate::interrupt::StopFlag;
+use crate::standins::clients::RequestForm;
 use crate::standins::id::EventType;
 use crate::standins::judge::Judge;
+use crate::standins::list_service::ListService;
 use crate::standins::receivers::{AnswerPath, Behaviour, Receivers};
 use crate::standins::server::ServerActions;
 use nix::sys::signal::Signal;
@@ -86,14 +88,39 @@
         FaultKind::Noise => set_endpoint_behaviour(testbed, target, behaviour(Behaviour::MalformedAnswer)),
         FaultKind::EndKept => set_endpoint_behaviour(testbed, target, behaviour(Behaviour::ServeAndClose)),
         FaultKind::Drain => set_drain(testbed, target, begins),
-        FaultKind::DiscoverySilent => {
-            let result = testbed.list_service.with_service(move |list, _| list.set_silent(begins));
-            result.ok_or_else(|| Error::Failed("the list service has stopped".into()))
-        }
+        FaultKind::DiscoverySilent => with_list_service(testbed, move |list, _| list.set_silent(begins)),
         FaultKind::Cut => set_proxy_mode(testbed, target, Mode::Cut, begins),
         FaultKind::LoseAnswers => set_proxy_mode(testbed, target, Mode::LoseAnswers, begins),
-        FaultKind::LateConnect => set_proxy_mode(testbed, target, Mode::LateConnect, begins),
+        FaultKind::LateConnect => {
+            let address = testbed.receiver_addresses[target];
+            let duration = Duration::from_secs_f64(fault.duration_secs);
+            with_receivers(testbed, move |receivers, _| receivers.record_late_connects(address, duration))?;
+            set_proxy_mode(testbed, target, Mode::LateConnect, begins)
+        }
         FaultKind::ResetAll if begins => reset_connections(testbed, target),
+        FaultKind::InterimAnswers => {
+            set_endpoint_behaviour(testbed, target, behaviour(Behaviour::InterimAnswer))
+        }
+        FaultKind::SplitAnswers => set_endpoint_behaviour(testbed, target, behaviour(Behaviour::SplitAnswer)),
+        FaultKind::ExtraBytes => set_endpoint_behaviour(testbed, target, behaviour(Behaviour::ExtraBytes)),
+        FaultKind::MissingBytes => {
+            set_endpoint_behaviour(testbed, target, behaviour(Behaviour::MissingBytes))
+        }
+        FaultKind::CopyAnswers => {
+            let (address, lag) = (testbed.receiver_addresses[target], Duration::from_secs_f64(amount));
+            with_receivers(testbed, move |receivers, _| {
+                receivers.set_copy_lag(address, begins.then_some(lag))
+            })
+        }
+        FaultKind::CopyAcknowledgements => {
+            let lag = begins.then(|| Duration::from_secs_f64(amount));
+            with_list_service(testbed, move |list, _| list.set_acknowledgement_copy_lag(lag))
+        }
+        FaultKind::CutNotices => with_list_service(testbed, move |list, _| list.set_cuts_notices(begins)),
+        FaultKind::CopyLists => {
+            let lag = begins.then(|| Duration::from_secs_f64(amount));
+            with_list_service(testbed, move |list, _| list.set_list_copy_lag(lag))
+        }
         _ => Ok(()),
     }
 }
@@ -105,6 +132,14 @@
     testbed.receivers.with_service(task).ok_or_else(|| Error::Failed("the receivers have stopped".into()))
 }
 
+/// Runs a task on the list service, in its thread.
+fn with_list_service(
+    testbed: &Testbed, task: impl FnOnce(&mut ListService, &mut ServerActions) + Send + 'static,
+) -> Result<(), Error> {
+    let result = testbed.list_service.with_service(task);
+    result.ok_or_else(|| Error::Failed("the list service has stopped".into()))
+}
+
 /// Begins an outage, in which the destination shows this behaviour; or ends it if there is none.
 fn set_outage(testbed: &Testbed, destination: usize, behaviour: Option<Behaviour>) -> Result<(), Error> {
     let (destination, calls_per_sec) = (destination as u32, testbed.calls_per_sec);
@@ -140,9 +175,7 @@
         ..entry
     });
     let entries: Vec<_> = entries.collect();
-    let result =
-        testbed.list_service.with_service(move |list, actions| list.update_endpoints(entries, actions));
-    result.ok_or_else(|| Error::Failed("the list service has stopped".into()))
+    with_list_service(testbed, move |list, actions| list.update_endpoints(entries, actions))
 }
 
 /// Sets how an endpoint answers. `None` returns to the default.
@@ -158,7 +191,7 @@
     let (mut entry, judge) = (testbed.endpoints[number].clone(), testbed.judge.clone());
     entry.health = if begins { "DRAINING" } else { "SERVING" };
     let endpoint = number as u32;
-    let result = testbed.list_service.with_service(move |list, actions| {
+    with_list_service(testbed, move |list, actions| {
         let version = list.version() + 1;
         judge.with(|judge, _| {
             if begins {
@@ -168,8 +201,7 @@
             }
         });
         list.update_endpoints(vec![entry], actions);
-    });
-    result.ok_or_else(|| Error::Failed("the list service has stopped".into()))
+    })
 }
 
 /// Changes the mode of an endpoint's proxy, or returns to passing everything. Around the change it is
@@ -266,6 +298,12 @@
         }
         FaultKind::Folder => shim_control.set(ControlWord::FolderFault, if_begins(amount as u64))?,
         FaultKind::Reload if begins => reload(testbed, subject, amount as usize)?,
+        FaultKind::RepeatRequests => {
+            factory.set_request_form(if begins { RequestForm::Repeated } else { RequestForm::Usual })
+        }
+        FaultKind::SplitRequests => {
+            factory.set_request_form(if begins { RequestForm::Split } else { RequestForm::Usual })
+        }
         FaultKind::Crowd if begins => {
             let (factory, stop, duration) =
                 (factory.clone(), stop.clone(), Duration::from_secs_f64(fault.duration_secs));
@@ -365,5 +403,10 @@
     for proxy in &testbed.proxies {
         proxy.set_mode(Mode::Pass);
     }
+    with_list_service(testbed, |list, _| {
+        list.set_acknowledgement_copy_lag(None);
+        list.set_cuts_notices(false);
+        list.set_list_copy_lag(None);
+    })?;
     with_receivers(testbed, |receivers, _| receivers.set_default_behaviour(Behaviour::Serve(SERVICE_TIME)))
 }
--- a/crates/scale/src/soak/plan.rs
+++ b/crates/scale/src/soak/plan.rs
@@ -64,11 +64,46 @@
     Crowd,
     /// Clients stop in the middle of a request and keep the connection open.
     StopMidway,
+    /// Answers of an endpoint come a second time on their connection.
+    CopyAnswers,
+    /// An endpoint sends an interim answer before each answer.
+    InterimAnswers,
+    /// An endpoint sends its answers in many segments.
+    SplitAnswers,
+    /// An endpoint sends more bytes than its answers say.
+    ExtraBytes,
+    /// An endpoint sends fewer bytes than its answers say.
+    MissingBytes,
+    /// The platform acknowledges each notice twice.
+    CopyAcknowledgements,
+    /// The platform closes some connections with a notice, before or after reading it, without an answer.
+    CutNotices,
+    /// Answers of the list service come a second time on their connection.
+    CopyLists,
+    /// Clients write each request twice.
+    RepeatRequests,
+    /// Clients write their requests in pieces.
+    SplitRequests,
 }
 
 impl FaultKind {
-    /// All kinds with their names on the command line and in reports.
-    pub const ALL: [(FaultKind, &'static str); 29] = [
+    /// The kinds that disturb the order of requests and answers, with their names. They are drawn apart from
+    /// the others, so that the other faults of a seed stay the same without them.
+    pub const OF_MESSAGES: [(FaultKind, &'static str); 10] = [
+        (FaultKind::CopyAnswers, "copy-answers"),
+        (FaultKind::InterimAnswers, "interim-answers"),
+        (FaultKind::SplitAnswers, "split-answers"),
+        (FaultKind::ExtraBytes, "extra-bytes"),
+        (FaultKind::MissingBytes, "missing-bytes"),
+        (FaultKind::CopyAcknowledgements, "copy-acknowledgements"),
+        (FaultKind::CutNotices, "cut-notices"),
+        (FaultKind::CopyLists, "copy-lists"),
+        (FaultKind::RepeatRequests, "repeat-requests"),
+        (FaultKind::SplitRequests, "split-requests"),
+    ];
+
+    /// The other kinds with their names on the command line and in reports.
+    pub const OTHERS: [(FaultKind, &'static str); 29] = [
         (FaultKind::Kill, "kill"),
         (FaultKind::KillTwice, "kill-twice"),
         (FaultKind::KillBehindAnswer, "kill-behind-answer"),
@@ -100,9 +135,14 @@
         (FaultKind::StopMidway, "stop-midway"),
     ];
 
+    /// All kinds with their names.
+    pub fn all() -> impl Iterator<Item = (FaultKind, &'static str)> {
+        FaultKind::OTHERS.into_iter().chain(FaultKind::OF_MESSAGES)
+    }
+
     /// The name on the command line and in reports.
     pub fn name(self) -> &'static str {
-        FaultKind::ALL.iter().find(|(kind, _)| *kind == self).map_or("", |(_, name)| name)
+        FaultKind::all().find(|(kind, _)| *kind == self).map_or("", |(_, name)| name)
     }
 
     /// Whether it ends a sender's process.
@@ -116,9 +156,26 @@
 
     /// Whether its target is a sender.
     pub fn targets_sender(self) -> bool {
-        use FaultKind::{ClockStep, Crowd, Folder, HoldUp, Reload, StopMidway, SystemCalls};
+        use FaultKind::{
+            ClockStep, Crowd, Folder, HoldUp, Reload, RepeatRequests, SplitRequests, StopMidway, SystemCalls,
+        };
         let others = [ClockStep, Crowd, Folder, HoldUp, Reload, StopMidway, SystemCalls];
-        self.ends_process() || others.contains(&self)
+        self.ends_process() || others.contains(&self) || matches!(self, RepeatRequests | SplitRequests)
+    }
+
+    /// Whether its target is the platform.
+    pub fn targets_platform(self) -> bool {
+        use FaultKind::{CopyAcknowledgements, CopyLists, CutNotices, DiscoverySilent};
+        matches!(self, DiscoverySilent | CopyAcknowledgements | CutNotices | CopyLists)
+    }
+
+    /// Whether it changes what an endpoint answers.
+    pub fn is_endpoint_behaviour(self) -> bool {
+        use FaultKind::{EndKept, ExtraBytes, Half, InterimAnswers, Late, MissingBytes, Noise, SplitAnswers};
+        matches!(
+            self,
+            Late | Half | Noise | EndKept | InterimAnswers | SplitAnswers | ExtraBytes | MissingBytes
+        )
     }
 
     /// Whether it is an outage of a whole destination, which is cold afterwards.
@@ -138,8 +195,8 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        let found = FaultKind::ALL.iter().find(|(_, name)| *name == text).map(|(kind, _)| *kind);
-        let names = || FaultKind::ALL.map(|(_, name)| name).join(", ");
+        let found = FaultKind::all().find(|(_, name)| *name == text).map(|(kind, _)| kind);
+        let names = || FaultKind::all().map(|(_, name)| name).collect::<Vec<_>>().join(", ");
         found.ok_or_else(|| format!("--without: unknown kind of fault {text}; the kinds are {}", names()))
     }
 }
@@ -155,8 +212,8 @@
     pub kind: FaultKind,
     /// The number of the sender, destination or endpoint.
     pub target: usize,
-    /// Its size, in the unit that its kind defines: seconds of a clock step, a wait, a late answer or the
-    /// time until the second kill, milliseconds of a pause, a count of clients or configurations, or the
+    /// Its size, in the unit that its kind defines: seconds of a clock step, a wait, a late answer, the
+    /// longest lag of a copy or the time until the second kill, milliseconds of a pause, a count of clients or configurations, or the
     /// number of a `FolderFault`.
     pub amount: f64,
 }
@@ -209,6 +266,8 @@
     pub slots: usize,
     /// Webhooks that a sender may hold at once.
     pub max_pending: usize,
+    /// Webhooks that a call may carry.
+    pub max_batch: usize,
 }
 
 /// A run, as its seed determines it.
@@ -237,13 +296,14 @@
             pulls_list,
             slots,
             max_pending,
+            max_batch,
         } = &self.settings;
         writeln!(
             formatter,
             "seed {}: {:.0} s, {sender_count} senders, {destination_count} destinations that take {calls_per_sec:.0} a \
              second, {webhooks_per_sec:.0} webhooks a second each, time to live {ttl_secs:.2} s, window \
              {repeat_window_secs:.2} s, ordered {ordered}, lists asked for {pulls_list}, {slots} slots, \
-             {max_pending} held",
+             {max_pending} held, {max_batch} in a call",
             self.seed, self.load_secs
         )?;
         self.faults.iter().try_for_each(|fault| writeln!(formatter, "  {fault}"))
--- a/crates/scale/src/soak/plan_generator.rs
+++ b/crates/scale/src/soak/plan_generator.rs
@@ -13,6 +13,14 @@
 const QUIET_START_PROBABILITY: f64 = 0.25;
 /// The quiet period, as a fraction of the run.
 const QUIET_START_FRACTION: f64 = 0.6;
+/// The mean time between the starts of two faults of messages.
+const MEAN_MESSAGE_FAULT_INTERVAL_SECS: f64 = 0.8;
+/// The probability that a fault of messages is one of copied answers, beside its share among all kinds.
+const COPIED_ANSWERS_PROBABILITY: f64 = 0.5;
+/// The longest lags of copies.
+const COPY_LAGS_SECS: [f64; 5] = [0.004, 0.012, 0.06, 0.4, 1.0];
+/// Decides which random numbers the faults of messages are drawn from.
+const MESSAGE_FAULT_SEED: u64 = 0x5eed_c0b1;
 /// The least time between two faults that exclude each other.
 const EXCLUSIVE_GAP_SECS: f64 = 1.0;
 /// The least time between a drain and a silence of the list service, so that it is certain which list each
@@ -22,7 +30,8 @@
 /// Generates the plan of a seed, without the excluded kinds of faults.
 pub fn generate_plan(seed: u64, load_secs: f64, excluded_kinds: &[FaultKind]) -> Plan {
     let mut rng = SeededRng::new(seed);
-    let settings = generate_settings(&mut rng);
+    let mut message_rng = SeededRng::new(seed ^ MESSAGE_FAULT_SEED);
+    let settings = RunSettings { max_batch: message_rng.choose(&[1, 4]), ..generate_settings(&mut rng) };
     let quiet_secs =
         if rng.happens(QUIET_START_PROBABILITY) { load_secs * QUIET_START_FRACTION } else { 0.0 };
     let mut faults = Vec::new();
@@ -37,9 +46,44 @@
             faults.push(fault);
         }
     }
+    add_message_faults(&mut message_rng, load_secs, quiet_secs, &settings, excluded_kinds, &mut faults);
     Plan { seed, load_secs, settings, faults }
 }
 
+/// Adds the faults of messages, and puts all faults in order.
+fn add_message_faults(
+    rng: &mut SeededRng, load_secs: f64, quiet_secs: f64, settings: &RunSettings,
+    excluded_kinds: &[FaultKind], faults: &mut Vec<Fault>,
+) {
+    let mut start_secs = FAULT_FREE_EDGE_SECS + quiet_secs;
+    loop {
+        start_secs += rng.between(0.2, 2.0 * MEAN_MESSAGE_FAULT_INTERVAL_SECS - 0.2);
+        if start_secs > load_secs - FAULT_FREE_EDGE_SECS {
+            break;
+        }
+        let kind = if rng.happens(COPIED_ANSWERS_PROBABILITY) {
+            FaultKind::CopyAnswers
+        } else {
+            rng.choose(&FaultKind::OF_MESSAGES).0
+        };
+        let target = match kind {
+            _ if kind.targets_platform() => 0,
+            _ if kind.targets_sender() => rng.below(settings.sender_count),
+            _ => rng.below(settings.destination_count as usize * ENDPOINTS_PER_DESTINATION),
+        };
+        let duration_secs = rng.between(2.0, 8.0).min(load_secs - start_secs);
+        let is_copy =
+            matches!(kind, FaultKind::CopyAnswers | FaultKind::CopyAcknowledgements | FaultKind::CopyLists);
+        let lag_secs = rng.choose(&COPY_LAGS_SECS);
+        let amount = if is_copy { lag_secs } else { 0.0 };
+        let fault = Fault { start_secs, duration_secs, kind, target, amount };
+        if !excluded_kinds.contains(&kind) && faults.iter().all(|other| can_combine(&fault, other)) {
+            faults.push(fault);
+        }
+    }
+    faults.sort_by(|a, b| a.start_secs.total_cmp(&b.start_secs));
+}
+
 fn generate_settings(rng: &mut SeededRng) -> RunSettings {
     let ttl_secs = rng.between(2.0, 12.0);
     RunSettings {
@@ -53,11 +97,12 @@
         pulls_list: rng.happens(0.5),
         slots: rng.choose(&[8, 16, 64]),
         max_pending: rng.choose(&[60, 150, 400]),
+        max_batch: 1,
     }
 }
 
 fn generate_fault(rng: &mut SeededRng, start_secs: f64, load_secs: f64, settings: &RunSettings) -> Fault {
-    let kind = FaultKind::ALL[rng.below(FaultKind::ALL.len())].0;
+    let kind = FaultKind::OTHERS[rng.below(FaultKind::OTHERS.len())].0;
     let destination_count = settings.destination_count as usize;
     let target = match kind {
         _ if kind.targets_sender() => rng.below(settings.sender_count),
@@ -118,8 +163,7 @@
         || both(FaultKind::ends_process)
         || both(targets_destination)
         || both(FaultKind::is_connection_fault)
-        || both(|kind| {
-            matches!(kind, FaultKind::Late | FaultKind::Half | FaultKind::Noise | FaultKind::EndKept)
-        });
+        || both(FaultKind::is_endpoint_behaviour)
+        || both(|kind| matches!(kind, FaultKind::RepeatRequests | FaultKind::SplitRequests));
     !(same_target && exclusive && fault.overlaps(other, EXCLUSIVE_GAP_SECS))
 }
--- a/crates/scale/src/soak/proxy.rs
+++ b/crates/scale/src/soak/proxy.rs
@@ -145,12 +145,20 @@
             }
             Err(_) => {
                 queue_may_be_stale = false;
-                std::thread::sleep(POLL_INTERVAL);
+                wait_for_connection(listener);
             }
         }
     }
 }
 
+/// Waits until a connection can be accepted, for a short time at most.
+fn wait_for_connection(listener: &TcpListener) {
+    let mut poll_fds = [PollFd::new(listener.as_fd(), PollFlags::POLLIN)];
+    let timeout = PollTimeout::try_from(POLL_INTERVAL).unwrap_or(PollTimeout::ZERO);
+    // After an error the next accept reports it.
+    let _ = poll(&mut poll_fds, timeout);
+}
+
 /// Whether a new connection has data to read, or its peer has closed it.
 fn has_data_or_ended(stream: &TcpStream) -> bool {
     poll_readable(stream, stream).is_none_or(|(client, _)| client.has_data || client.ended)
--- a/crates/scale/src/soak/testbed.rs
+++ b/crates/scale/src/soak/testbed.rs
@@ -159,6 +159,7 @@
     settings: &RunSettings, number: u16, listen_address: SocketAddr, list_address: SocketAddr,
 ) -> SenderSettings {
     SenderSettings {
+        max_batch: settings.max_batch,
         number,
         sender_count: settings.sender_count,
         listen_address,
--- a/crates/scale/tests/standins.rs
+++ b/crates/scale/tests/standins.rs
@@ -2,7 +2,7 @@
 
 use scalebarrow_scale::standins::clients::{Client, HandInResult};
 use scalebarrow_scale::standins::id::{EventType, WebhookId};
-use scalebarrow_scale::standins::judge::{Judge, Rule, RuleParameters};
+use scalebarrow_scale::standins::judge::{EndpointLocation, Judge, Rule, RuleParameters};
 use scalebarrow_scale::standins::list_service::{Endpoint, ListService};
 use scalebarrow_scale::standins::message::{Malformed, Request, response, take_status};
 use scalebarrow_scale::standins::receivers::{Behaviour, Receivers, SharedJudge};
@@ -248,3 +248,33 @@
         assert!(began_at.elapsed() < TIMEOUT, "the listener is not open");
     }
 }
+
+#[test]
+fn receivers_name_the_webhooks_of_a_batch_and_send_answers_twice_if_told_to() {
+    let (address, shared_judge) = (free_address(), new_judge());
+    let receivers = Receivers::new(shared_judge.clone(), Behaviour::Serve(Duration::ZERO));
+    let server = Server::start(&[address], receivers).unwrap();
+    server
+        .with_service(move |receivers, _| {
+            receivers.set_endpoint(address, EndpointLocation::default());
+            receivers.set_endpoint_behaviour(address, Some(Behaviour::Serve(Duration::ZERO)));
+            receivers.set_copy_lag(address, Some(Duration::ZERO));
+        })
+        .unwrap();
+    let ids = [id(EventType::Idempotent, 1), id(EventType::Tokened, 2)];
+    let body = format!("{} - 3\r\none\r\n{} key 0\r\n\r\n", ids[0], ids[1]);
+    let head = format!("POST /inbox/bulk HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n", body.len());
+    let mut stream = connect(address);
+    for _ in 0..2 {
+        stream.write_all((head.clone() + &body).as_bytes()).unwrap();
+    }
+    // One answer in two comes twice.
+    let lines = format!("\r\n\r\n{} ok\r\n{} ok\r\n", ids[0], ids[1]);
+    let (mut received, mut read_buffer) = (String::new(), [0; 4096]);
+    while received.matches(&lines).count() < 3 {
+        let count = stream.read(&mut read_buffer).unwrap();
+        assert!(count > 0, "{received:?}");
+        received += std::str::from_utf8(&read_buffer[..count]).unwrap();
+    }
+    assert_eq!(received.matches("HTTP/1.1 200 ").count(), 3, "{received:?}");
+}
