--- a/crates/emulator/src/run/endpoint_list.rs
+++ b/crates/emulator/src/run/endpoint_list.rs
@@ -6,10 +6,9 @@
     /// An endpoint's list entry as a sender sees it.
     pub(super) fn listed_for(&self, sender_id: u32, endpoint_id: u32) -> Listed {
         let listed = self.fleet.endpoints[endpoint_id as usize].listed;
-        Listed {
-            rate: listed.rate * self.faults.size_product(sender_id, endpoint_id, FaultKind::ListWrong),
-            ..listed
-        }
+        let error_factor = self.faults.size_product(sender_id, endpoint_id, FaultKind::ListWrong);
+        let rate = if self.world.endpoint_list.has_rates { listed.rate * error_factor } else { 0.0 };
+        Listed { rate, ..listed }
     }
 
     /// The whole list as a sender sees it.
--- a/crates/emulator/src/spec.rs
+++ b/crates/emulator/src/spec.rs
@@ -472,11 +472,19 @@
     /// Time from a change until it reaches a sender.
     #[serde(rename = "delay")]
     pub update_delay: Spread,
+    /// Whether the list names the rate that each destination takes.
+    #[serde(rename = "rates")]
+    pub has_rates: bool,
 }
 
 impl Default for EndpointList {
     fn default() -> Self {
-        EndpointList { watch_required: false, max_watch_interval_s: 10.0, update_delay: Spread::fixed(0.5) }
+        EndpointList {
+            watch_required: false,
+            max_watch_interval_s: 10.0,
+            update_delay: Spread::fixed(0.5),
+            has_rates: true,
+        }
     }
 }
 
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -92,6 +92,21 @@
 }
 
 impl Experiment {
+    /// An experiment of one day, that of the seed.
+    pub fn of_world(name: &str, world: World, seed: u64) -> Experiment {
+        Experiment {
+            name: name.into(),
+            about: String::new(),
+            policy: default_policy(),
+            baseline: default_baseline(),
+            seeds: 1,
+            seed,
+            world,
+            sweeps: Vec::new(),
+            found: None,
+        }
+    }
+
     /// Reads and checks a file. Also returns it as a TOML value, in which [`Experiment::with`] can set
     /// fields.
     pub fn read(file: &Path) -> Result<(Experiment, Value), ExperimentError> {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod hunt;
 mod plot;
 mod results;
+mod returns;
 mod simulate;
 
 use bpaf::Bpaf;
@@ -104,6 +105,23 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Simulate random days on which destinations have an outage and return, and report each rule that is
+    /// broken
+    #[bpaf(command)]
+    Returns {
+        /// How many days
+        #[bpaf(long, argument("N"), fallback(100), display_fallback)]
+        days: u64,
+        /// The seed of the first day; each further day has the next one
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Only days with this combination: none, a kind of fault, or kinds joined by +
+        #[bpaf(long, argument("KINDS"))]
+        beside: Option<String>,
+        /// Write the experiment of the first day to this file instead of simulating
+        #[bpaf(long, argument("FILE"))]
+        write: Option<PathBuf>,
+    },
     /// Simulate a day that a hunt found and report whether the result is the same
     #[bpaf(command)]
     Replay {
@@ -301,6 +319,16 @@
             );
             Ok(outcome.rule.is_none())
         }
+        Command::Returns { seed, write: Some(path), .. } => {
+            let text = toml::to_string(&returns::random_day(seed).experiment).map_err(|e| e.to_string())?;
+            std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            Ok(true)
+        }
+        Command::Returns { days, seed, beside, write: None } => {
+            let report = returns::simulate(seed, days, beside.as_deref())?;
+            print!("{report}");
+            Ok(report.broken.is_empty())
+        }
         Command::Replay { events, file } => {
             let (experiment, _) = read_experiment(&file)?;
             let found = experiment.found.clone().ok_or_else(|| {
--- a/crates/scale/src/standins/judge/mod.rs
+++ b/crates/scale/src/standins/judge/mod.rs
@@ -572,17 +572,18 @@
     /// A sender was asked to terminate, or killed.
     pub fn record_sender_stop(&mut self, sender: u16, at: f64) {
         self.restarts.entry(sender).or_default().downtimes.push((at, None));
-        // A restarted sender does not know the waits that its predecessor was asked for.
-        self.waits.retain(|(waiting_sender, _), _| *waiting_sender != sender);
     }
 
     /// The sender's process has ended, at once or some time after it was asked to.
     pub fn record_sender_exit(&mut self, sender: u16, at: f64) {
         self.restarts.entry(sender).or_default().exits.push(at);
-        // The waits that were asked for while the process was terminating are forgotten as well.
-        self.waits.retain(|(waiting_sender, _), _| *waiting_sender != sender);
-        // The next process knows nothing of the outages that this one saw.
-        self.return_rule.forget_sender(sender);
+        // The folder lasts, so the next process knows what this one was told, but for what it may not have
+        // read.
+        let read_until = at - UNREAD_ANSWER_SECS;
+        let was_read = |asked_at: f64| asked_at < read_until;
+        self.waits
+            .retain(|(waiting_sender, _), (asked_at, _)| *waiting_sender != sender || was_read(*asked_at));
+        self.return_rule.record_sender_exit(sender, read_until);
     }
 
     /// The sender is ready again.
--- a/crates/scale/src/standins/judge/returns.rs
+++ b/crates/scale/src/standins/judge/returns.rs
@@ -3,7 +3,7 @@
 //! outage.
 
 use crate::standins::id::WebhookId;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 /// Below this number of calls the limit allows for a larger random deviation.
 const FEW_CALLS: f64 = 30.0;
@@ -60,8 +60,8 @@
     calls_per_sec: f64,
     began_at: f64,
     ended_at: Option<f64>,
-    /// The senders that saw it.
-    observers: HashSet<u16>,
+    /// The senders that saw it, and when each saw its first failed call.
+    observers: HashMap<u16, f64>,
     /// The calls in the last overload window: when each arrived, and its sender.
     recent_calls: VecDeque<(f64, u16)>,
     /// Whether the destination was overloaded after the outage. Further calls are not judged then.
@@ -82,7 +82,7 @@
 
     /// An outage begins of a destination that takes `calls_per_sec` when it is warm.
     pub fn record_outage_start(&mut self, destination: u32, began_at: f64, calls_per_sec: f64) {
-        let (observers, recent_calls) = (HashSet::new(), VecDeque::new());
+        let (observers, recent_calls) = (HashMap::new(), VecDeque::new());
         self.outages.insert(
             destination,
             Outage { calls_per_sec, began_at, ended_at: None, observers, recent_calls, overloaded: false },
@@ -100,14 +100,15 @@
     pub fn record_failure(&mut self, id: WebhookId, at: f64) {
         let Some(outage) = self.outages.get_mut(&id.destination) else { return };
         if at >= outage.began_at && outage.ended_at.is_none_or(|ended_at| at <= ended_at) {
-            outage.observers.insert(id.sender);
+            outage.observers.entry(id.sender).or_insert(at);
         }
     }
 
-    /// A sender's process has ended: its next process does not know what this one saw.
-    pub fn forget_sender(&mut self, sender: u16) {
+    /// A sender's process has ended. Its next process knows what this one saw, except answers that were sent
+    /// after `read_until` and that the process may not have read.
+    pub fn record_sender_exit(&mut self, sender: u16, read_until: f64) {
         for outage in self.outages.values_mut() {
-            outage.observers.remove(&sender);
+            outage.observers.retain(|observer, seen_at| *observer != sender || *seen_at < read_until);
         }
     }
 
@@ -131,7 +132,7 @@
             (outage.recent_calls.len(), self.parameters.call_limit(since_return_secs, outage.calls_per_sec));
         outage.overloaded = count as f64 > limit;
         let from_observers =
-            outage.recent_calls.iter().filter(|(_, sender)| outage.observers.contains(sender)).count();
+            outage.recent_calls.iter().filter(|(_, sender)| outage.observers.contains_key(sender)).count();
         (outage.overloaded && 3 * from_observers >= 2 * count).then(|| {
             let destination = id.destination;
             format!(
--- a/crates/scale/src/verbs/day.rs
+++ b/crates/scale/src/verbs/day.rs
@@ -10,6 +10,7 @@
 use crate::verbs::load::{Load, steady_tasks};
 use crate::verbs::report::{print_verdict, progress_bar};
 use bpaf::Bpaf;
+use nix::sys::signal::Signal;
 use serde::Deserialize;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -87,6 +88,18 @@
     pub holds: usize,
     /// The outage of a part of the destinations.
     pub outage: Outage,
+    /// A restart of a part of the senders.
+    pub restart: Option<Restart>,
+}
+
+/// A restart of some senders at the same time, by SIGKILL.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Restart {
+    /// The fraction of the senders that are killed and started again.
+    pub part: f64,
+    /// When they are killed, in seconds since the begin of the load.
+    pub at: f64,
 }
 
 /// An outage that some destinations have at the same time. All times are seconds.
@@ -148,7 +161,10 @@
         require("outage.part", (0.0..=1.0).contains(&outage.part), "must be 0 to 1")?;
         require("outage.from", outage.from >= 0.0, "must be 0 or more")?;
         require("outage.lasts", outage.lasts >= 0.0, "must be 0 or more")?;
-        require("outage.does", !outage.does.is_empty(), "names nothing")
+        require("outage.does", !outage.does.is_empty(), "names nothing")?;
+        let Some(restart) = self.restart else { return Ok(()) };
+        require("restart.part", (0.0..=1.0).contains(&restart.part), "must be 0 to 1")?;
+        require("restart.at", (0.0..self.seconds).contains(&restart.at), "must be 0 to seconds")
     }
 
     /// Calls per second that a destination can take.
@@ -185,7 +201,7 @@
         ttl,
         ..FleetPlan::single_sender(program.to_owned(), profile.destinations, profile.holds)
     };
-    let (fleet, ready_after) = Fleet::start(&plan, &guard)?;
+    let (mut fleet, ready_after) = Fleet::start(&plan, &guard)?;
     let slowest_secs = ready_after.iter().max().map_or(0.0, Duration::as_secs_f64);
     println!(
         "{} senders with {} destinations: ready after {slowest_secs:.3} s at most",
@@ -213,11 +229,20 @@
             receivers.begin_outage(*destination, (*behaviour).into(), calls_per_sec)
         });
     })?;
-    sleep_until(profile.outage.from + profile.outage.lasts);
+    let outage_end_secs = profile.outage.from + profile.outage.lasts;
+    if let Some(restart) = profile.restart.filter(|restart| restart.at <= outage_end_secs) {
+        sleep_until(restart.at);
+        restart_senders(&mut fleet, restart.part)?;
+    }
+    sleep_until(outage_end_secs);
     let ending = destinations_down.clone();
     fleet.with_receivers(move |receivers, _| {
         ending.iter().for_each(|(destination, _)| receivers.end_outage(*destination))
     })?;
+    if let Some(restart) = profile.restart.filter(|restart| restart.at > outage_end_secs) {
+        sleep_until(restart.at);
+        restart_senders(&mut fleet, restart.part)?;
+    }
     sleep_until(profile.seconds);
     bar.finish_and_clear();
     let answers = load.finish()?;
@@ -232,6 +257,25 @@
     print_verdict(&answers, &fleet.verdict())
 }
 
+/// Kills a fraction of the senders, all at once, and starts them again.
+fn restart_senders(fleet: &mut Fleet, part: f64) -> Result<(), Error> {
+    let count = (fleet.senders.len() as f64 * part).round() as usize;
+    for (number, sender) in fleet.senders.iter_mut().enumerate().take(count) {
+        fleet.judge.with(|judge, now| judge.record_sender_stop(number as u16, now));
+        sender.signal_and_wait(Signal::SIGKILL)?;
+        fleet.judge.with(|judge, now| judge.record_sender_exit(number as u16, now));
+    }
+    let restarted_at = Instant::now();
+    for sender in fleet.senders.iter_mut().take(count) {
+        sender.launch()?;
+    }
+    for (number, sender) in fleet.senders.iter_mut().enumerate().take(count) {
+        sender.wait_until_ready(restarted_at)?;
+        fleet.judge.with(|judge, now| judge.record_sender_ready(number as u16, now));
+    }
+    Ok(())
+}
+
 /// Prints what the senders used. If they waited for a processor longer than they ran, the machine was too
 /// busy, and the measured times say little about the program.
 fn print_usage(fleet: &Fleet, took_secs: f64) {
--- a/crates/scale/tests/judge.rs
+++ b/crates/scale/tests/judge.rs
@@ -480,11 +480,28 @@
             &[],
         ),
         (
-            "after a restart",
-            &after_wait(&[(1.1, SenderStopped(3)), (1.2, SenderReady(3)), (1.5, Called(second))]),
+            "after a kill that may have come before the answer was read",
+            &after_wait(&[
+                (1.1, SenderStopped(3)),
+                (1.1, SenderExited(3)),
+                (1.2, SenderReady(3)),
+                (1.5, Called(second)),
+            ]),
             5.0,
             &[],
         ),
+        // The folder lasts, so the wait is known after the restart.
+        (
+            "after a restart",
+            &after_wait(&[
+                (2.2, SenderStopped(3)),
+                (2.2, SenderExited(3)),
+                (2.4, SenderReady(3)),
+                (2.9, Called(second)),
+            ]),
+            5.0,
+            &[Rule::Waits],
+        ),
         (
             "wait asked for while the process was terminating",
             &[
@@ -713,12 +730,15 @@
 
 #[test]
 fn calls_of_all_senders_together_must_not_overload_a_destination_that_is_back() {
-    let restart =
-        |sender| [(1.6, SenderStopped(sender)), (1.7, SenderExited(sender)), (1.8, SenderReady(sender))];
-    let mut restarted = outage(true, 9, 0.0);
-    let outage_end =
-        restarted.iter().position(|(_, observation)| matches!(observation, OutageEnded)).unwrap();
-    restarted.splice(outage_end..outage_end, [restart(3), restart(4)].concat());
+    let restart = |sender, at: f64| {
+        [(at, SenderStopped(sender)), (at, SenderExited(sender)), (at, SenderReady(sender))]
+    };
+    let restarted_at = |at: f64| {
+        let mut events = outage(true, 10, 0.4);
+        let after = events.iter().position(|event| event.0 > at).unwrap();
+        events.splice(after..after, [restart(3, at), restart(4, at)].concat());
+        events
+    };
     // Right after its return the destination takes 0.28 of ten calls a second: 1.5 times that is 6.3 calls in
     // 1.5 s, and 16.8 with the random deviation (three square roots and 3 more). At 7 s it takes about 0.64:
     // 14.4, and 28.8 with the deviation.
@@ -728,7 +748,9 @@
         ("many calls, one of two senders saw the outage", &outage(false, 9, 0.0), 9.0, &[]),
         ("as many calls when it is warmer", &outage(true, 9, 6.0), 12.0, &[]),
         ("more calls when it is warmer", &outage(true, 16, 6.0), 12.0, &[Rule::Returns]),
-        ("many calls from processes restarted since the outage", &restarted, 9.0, &[]),
+        // The folders last, so what was read before the restart is known after it.
+        ("many calls from processes restarted since the outage", &restarted_at(2.3), 9.0, &[Rule::Returns]),
+        ("many calls from processes that may not have read the failure", &restarted_at(1.6), 9.0, &[]),
         ("many calls when it is warm", &outage(true, 40, 14.0), 20.0, &[]),
         ("no outage", &outage(true, 40, 0.0)[9..], 9.0, &[]),
     ]);
