A missed turn at a cold destination is drawn again

Callers saw destinations go down again that had told all senders to wait, or that had been out for long: webhooks for them were given up.

Cause: the turn in which a sender may call a cold destination stayed where it was when it could not be used (a wait that all were told, no webhook, no slot). It lay in the past, so each sender called at once when it could: all of them at the end of the wait, or together with a burst of webhooks. Where a used limit was reported, the pause after the wait was not spread at all.

A turn that was not used for 0.25 s is missed, whatever the reason, and a new one is drawn over the time in which all senders that may want the destination call it once. So whoever waited for the same event does not call together, and turns do not add up.

The case of tests/decisions.rs failed before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,12 +41,13 @@
 }
 
 /// All rules, in order of precedence.
-const RULES: [Rule; 10] = [
+const RULES: [Rule; 11] = [
     Rule { name: "expired", condition: RuleEngine::expired, action: RuleEngine::give_up },
     Rule { name: "exhausted", condition: RuleEngine::exhausted, action: RuleEngine::give_up },
     Rule { name: "overflow", condition: RuleEngine::overflow, action: RuleEngine::give_up },
     Rule { name: "watch", condition: RuleEngine::watch_due, action: RuleEngine::request_list },
     Rule { name: "unused-route", condition: RuleEngine::unused_route, action: RuleEngine::forget_route },
+    Rule { name: "missed-turn", condition: RuleEngine::missed_turn, action: RuleEngine::draw_turn },
     Rule { name: "probe", condition: RuleEngine::due_probe, action: RuleEngine::start_attempt },
     Rule { name: "send", condition: RuleEngine::next_attempt, action: RuleEngine::start_attempt },
     Rule { name: "overdue-call", condition: RuleEngine::overdue_call, action: RuleEngine::cancel_call },
@@ -66,6 +67,8 @@
     sender_index: u64,
     sender_count: f64,
     rng: Rng,
+    /// Random numbers for the turns that are drawn in place of missed ones.
+    turn_rng: Rng,
     pub event_types: BTreeMap<Name, EventType>,
     webhooks: BTreeMap<u64, Webhook>,
     /// The webhooks of each ordering key; only the front one may be sent.
@@ -130,7 +133,7 @@
     pub fn new(now: f64, seed: u64, sender_index: u64, sender_count: u64) -> Self {
         let sender_count = sender_count.max(1) as f64;
         let mut engine = RuleEngine { now, sender_index, sender_count, ..RuleEngine::default() };
-        engine.rng = Rng::new(seed);
+        (engine.rng, engine.turn_rng) = (Rng::new(seed), Rng::new(!seed));
         (engine.list_watch.max_interval, engine.idle_timeout) = (f64::INFINITY, f64::INFINITY);
         (engine.list_watch.request_at, engine.unused_routes.next_check_at) = (now, now);
         (engine.shutdown_at, engine.limit_used_up_at) = (f64::INFINITY, f64::NEG_INFINITY);
--- a/src/logic/cold_budget.rs
+++ b/src/logic/cold_budget.rs
@@ -10,6 +10,9 @@
 const OUTAGE_SECS: f64 = 2.0;
 /// This many consecutive failures are no coincidence, however short the time.
 const OUTAGE_CALLS_AT_ONCE: u32 = 8;
+/// A turn to call a cold scope that is not used this long after it began is missed. Wake-ups are late by some
+/// hundredths of a second, and a process may be suspended for 0.15 s.
+const TURN_LENGTH_SECS: f64 = 0.25;
 
 impl RuleEngine {
     /// Calls per second that all senders together may make to a cold scope, if `wanting` senders have
@@ -93,6 +96,39 @@
         }
     }
 
+    /// An endpoint of a cold scope that has a sendable webhook and missed its turn, for lack of a webhook or of
+    /// a slot, or because of a requested wait.
+    pub(super) fn missed_turn(&self) -> Option<RuleTarget> {
+        let candidates = self.candidate_destinations();
+        let mut endpoints =
+            candidates.iter().filter_map(|destination| self.endpoints.get(destination)).flatten();
+        endpoints.find(|endpoint| self.has_missed_turn(endpoint)).cloned().map(RuleTarget::Route)
+    }
+
+    fn has_missed_turn(&self, endpoint: &Name) -> bool {
+        let Some(route) = self.routes.get(endpoint).filter(|route| route.ready && route.cold) else {
+            return false;
+        };
+        let limiter = self.rate_limiters.get(&Self::limit_scope(endpoint, route));
+        let (turn_at, wait_until) =
+            limiter.map_or((0.0, 0.0), |limiter| (limiter.next_cold_call_at, limiter.wait_until));
+        // Each sender draws the time of its probe as well, so a turn may be used with the probe.
+        let usable_at = if route.circuit_open { turn_at.max(route.probe_at) } else { turn_at };
+        self.now >= wait_until && self.now > usable_at + TURN_LENGTH_SECS
+    }
+
+    /// Draws a new turn in place of a missed one. Senders that missed theirs for the same reason, as a wait
+    /// that all of them were told, do not call together then.
+    pub(super) fn draw_turn(&mut self, target: RuleTarget, _: &mut dyn ActionSink) {
+        let RuleTarget::Route(endpoint) = target else { return };
+        let Some(route) = self.routes.get(&endpoint) else { return };
+        let (scope, destination) = (Self::limit_scope(&endpoint, route), route.destination);
+        let spread = self.spread_duration(route, self.rate_limiters.get(&scope), route.failing_since - 2.0);
+        let turn_at = self.now + spread * self.turn_rng.next_f64();
+        self.rate_limiters.entry(scope).or_default().next_cold_call_at = turn_at;
+        self.pending.changed.insert(destination);
+    }
+
     /// Whether calls fail at all routes of a scope: an outage, although no single route had three consecutive
     /// failures.
     pub(super) fn all_routes_failing(&self, scope: &LimitScope) -> bool {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -556,6 +556,13 @@
             "0 list a:z:plain:10\n0 accept 1 idem\n0.1 end 1 a failed\n6 tick",
             &[Sends(0.05, 6.0, 0..=0)],
         ),
+        (
+            // Guards against turns that add up while no webhook is there to use them.
+            "a turn that passed without a webhook is not used by a later one",
+            two_hundred_senders,
+            "0 list a:z:plain:10\n0 accept 1 idem\n0.1 end 1 a failed\n8.1 tick\n50 accept 2 idem\n50.1 tick",
+            &[Sends(50.0, 50.1, 0..=0)],
+        ),
         (
             "a single sender retries an error at once",
             ONE_SENDER,
