--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,9 @@
 /// is known.
 const ROUTE_MEMORY_SECS: f64 = 60.0;
 
+/// The longest pause between two attempts for a webhook.
+const MAX_RETRY_PAUSE_SECS: f64 = 2.0;
+
 /// A condition, and the action that runs when it selects a target.
 struct Rule {
     name: &'static str,
@@ -133,7 +136,7 @@
     pub fn new(now: f64, seed: u64, sender_index: u64, sender_count: u64) -> Self {
         let sender_count = sender_count.max(1) as f64;
         let mut engine = RuleEngine { now, sender_index, sender_count, ..RuleEngine::default() };
-        (engine.rng, engine.turn_rng) = (Rng::new(seed), Rng::new(!seed));
+        (engine.rng, engine.turn_rng) = (Rng::new(seed), Rng::new(hash(seed, "turns")));
         (engine.list_watch.max_interval, engine.idle_timeout) = (f64::INFINITY, f64::INFINITY);
         (engine.list_watch.request_at, engine.unused_routes.next_check_at) = (now, now);
         (engine.shutdown_at, engine.limit_used_up_at) = (f64::INFINITY, f64::NEG_INFINITY);
@@ -262,7 +265,8 @@
         }
         // Retries are 0.1 s apart (a short stall) if all recent ones succeeded, up to 2 s if none did.
         let delivered = self.retry_results.iter().filter(|delivered| **delivered).count() + 1;
-        let pause = (0.1 * (self.retry_results.len() + 1) as f64 / delivered as f64).min(2.0);
+        let pause =
+            (0.1 * (self.retry_results.len() + 1) as f64 / delivered as f64).min(MAX_RETRY_PAUSE_SECS);
         let yielding =
             if limit_reached { self.yield_duration(id) * (0.5 + self.rng.next_f64()) } else { 0.0 };
         self.webhooks.entry(id).and_modify(|webhook| webhook.not_before = now + pause.max(yielding));
--- a/src/logic/cold_budget.rs
+++ b/src/logic/cold_budget.rs
@@ -109,12 +109,14 @@
         let Some(route) = self.routes.get(endpoint).filter(|route| route.ready && route.cold) else {
             return false;
         };
-        let limiter = self.rate_limiters.get(&Self::limit_scope(endpoint, route));
-        let (turn_at, wait_until) =
-            limiter.map_or((0.0, 0.0), |limiter| (limiter.next_cold_call_at, limiter.wait_until));
-        // Each sender draws the time of its probe as well, so a turn may be used with the probe.
-        let usable_at = if route.circuit_open { turn_at.max(route.probe_at) } else { turn_at };
-        self.now >= wait_until && self.now > usable_at + TURN_LENGTH_SECS
+        let Some(limiter) = self.rate_limiters.get(&Self::limit_scope(endpoint, route)) else { return true };
+        // What follows from this sender's own calls delays the use of a turn: a probe, the retry of a failed
+        // webhook, its share of the rate limit.
+        let probe_at = if route.circuit_open { route.probe_at } else { 0.0 };
+        let retry_at = route.last_failed_at.map_or(0.0, |failed_at| failed_at + MAX_RETRY_PAUSE_SECS);
+        let share_until = self.own_share_until(route, limiter);
+        let usable_at = limiter.next_cold_call_at.max(probe_at).max(retry_at).max(share_until);
+        self.now >= limiter.wait_until && self.now > usable_at + TURN_LENGTH_SECS
     }
 
     /// Draws a new turn in place of a missed one. Senders that missed theirs for the same reason, as a wait
@@ -124,7 +126,9 @@
         let Some(route) = self.routes.get(&endpoint) else { return };
         let (scope, destination) = (Self::limit_scope(&endpoint, route), route.destination);
         let spread = self.spread_duration(route, self.rate_limiters.get(&scope), route.failing_since - 2.0);
-        let turn_at = self.now + spread * self.turn_rng.next_f64();
+        // A sender that is alone needs no turn: its next call is a spread later anyway.
+        let others = 1.0 - 1.0 / self.sender_count;
+        let turn_at = self.now + spread * others * self.turn_rng.next_f64();
         self.rate_limiters.entry(scope).or_default().next_cold_call_at = turn_at;
         self.pending.changed.insert(destination);
     }
--- a/src/logic/waits.rs
+++ b/src/logic/waits.rs
@@ -44,6 +44,11 @@
         if joins {
             return limiter.wait_until;
         }
+        limiter.wait_until.max(cold_until).max(self.own_share_until(route, limiter))
+    }
+
+    /// When this sender's share of the rate limit admits a call.
+    pub(super) fn own_share_until(&self, route: &Route, limiter: &RateLimiter) -> f64 {
         // Reports arrive every few tenths of a second; the report of a used-up limit counts for that long.
         let used_up_until = limiter
             .reported_remaining
@@ -60,7 +65,7 @@
         let share_used_until = oldest
             .filter(|_| rate.min(limiter.min_share) > 0.0)
             .map_or(0.0, |sent_at| sent_at + max_calls / own_rate);
-        limiter.wait_until.max(used_up_until).max(cold_until).max(share_used_until)
+        used_up_until.max(share_used_until)
     }
 
     /// Reacts to a refused call, which asked for a wait of `wait` seconds (0 if it asked for none). Returns
