Outages and requested waits outlive a restart

Cause: what a call had taught lived in the process alone (docs/design.md: nothing is kept).

Log lines outage, with what was found and what changed.

--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -4,7 +4,7 @@
 use crate::fleet::Listed;
 use crate::policy::Policy;
 use crate::queue::Nanos;
-use scalebarrow::ActionSink;
+use scalebarrow::{ActionSink, ScopeMemory};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An action that a policy asked for; see [`ActionSink`].
@@ -24,6 +24,8 @@
     WatchList(bool),
     /// Close the idle connections to an endpoint.
     CloseIdleConnections { endpoint_id: u32 },
+    /// Keep this for the next process.
+    StoreMemory(ScopeMemory),
     /// Write a message for the operators.
     Log(String),
 }
@@ -75,6 +77,9 @@
             self.actions.push(Action::CloseIdleConnections { endpoint_id });
         }
     }
+    fn store_memory(&mut self, memory: ScopeMemory) {
+        self.actions.push(Action::StoreMemory(memory));
+    }
     fn log(&mut self, text: &str) {
         self.actions.push(Action::Log(text.into()));
     }
@@ -116,6 +121,8 @@
     pub last_update_at: Nanos,
     /// When its process was last killed.
     pub killed_at: Nanos,
+    /// What its policy stored of destinations and endpoints. With a journal it survives the process.
+    pub memories: BTreeMap<(u64, Option<String>), ScopeMemory>,
 }
 
 impl Host {
@@ -134,6 +141,7 @@
             watching_list: false,
             last_update_at: 0,
             killed_at: 0,
+            memories: BTreeMap::new(),
         }
     }
 
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -1,7 +1,7 @@
 //! The interface of what decides for a sender: the decision module, or a baseline to compare it with.
 
 use crate::spec::{RepeatEffect, World};
-use scalebarrow::{ActionSink, ListUpdate, ListedEndpoint, Outcome, RepeatSafety, Sender};
+use scalebarrow::{ActionSink, ListUpdate, ListedEndpoint, Outcome, RepeatSafety, ScopeMemory, Sender};
 
 /// Decides for one sender process. The inputs are those of [`scalebarrow::Sender`]; all times are in seconds.
 #[allow(clippy::too_many_arguments)]
@@ -22,6 +22,8 @@
         customer: Option<&str>, ttl_left: f64, attempts_made: u32, may_have_run: Option<(&str, f64)>,
         actions: &mut dyn ActionSink,
     );
+    /// What the process before this one stored of a destination or endpoint; it comes before the list.
+    fn remember(&mut self, _now: f64, _memory: &ScopeMemory) {}
     /// The process will end at `shutdown_at`.
     fn begin_shutdown(&mut self, now: f64, shutdown_at: f64, actions: &mut dyn ActionSink);
     /// Whether an attempt may still be sent now that its connection is open.
@@ -83,6 +85,9 @@
             actions,
         );
     }
+    fn remember(&mut self, now: f64, memory: &ScopeMemory) {
+        Sender::remember(self, now, memory);
+    }
     fn begin_shutdown(&mut self, now: f64, shutdown_at: f64, actions: &mut dyn ActionSink) {
         Sender::begin_shutdown(self, now, shutdown_at, actions);
     }
--- a/crates/emulator/src/run/senders.rs
+++ b/crates/emulator/src/run/senders.rs
@@ -43,6 +43,11 @@
                         .map_or(0, |connections| connections.len());
                     self.fleet.endpoints[endpoint_id as usize].connections -= closed;
                 }
+                Action::StoreMemory(memory) if self.world.senders.journal => {
+                    let key = (memory.destination, memory.endpoint.clone());
+                    self.hosts[sender_id as usize].memories.insert(key, memory);
+                }
+                Action::StoreMemory(_) => {}
                 // A hundred messages are enough to see what is wrong with a policy.
                 Action::Log(text) if self.policy_messages.len() < 100 => {
                     self.policy_messages.push(format!("{:.3} sender {sender_id}: {text}", seconds(now)));
@@ -156,6 +161,10 @@
             SenderStart { now: seconds(now), seed, sender_index: sender_id as usize, world: self.world };
         host.policy = Some((self.policy_factory)(start));
         self.log(LogEvent::Started { sender_id });
+        let memories: Vec<_> = self.hosts[sender_id as usize].memories.values().cloned().collect();
+        if let Some(policy) = &mut self.hosts[sender_id as usize].policy {
+            memories.iter().for_each(|memory| policy.remember(seconds(now), memory));
+        }
         let known_list: Vec<(u32, Listed)> = with_ids(&self.hosts[sender_id as usize].known_list);
         self.give_list_update(now, sender_id, ListUpdate::Remembered, &known_list);
         let open_webhooks: Vec<u64> = self.hosts[sender_id as usize].open_webhooks.iter().copied().collect();
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -3,7 +3,7 @@
 use crate::experiment::Experiment;
 use indicatif::{ProgressBar, ProgressStyle};
 use rayon::prelude::*;
-use scalebarrow::{ActionSink, ListUpdate, ListedEndpoint, Outcome};
+use scalebarrow::{ActionSink, ListUpdate, ListedEndpoint, Outcome, ScopeMemory};
 use scalebarrow_emulator::baselines::factory_by_name;
 use scalebarrow_emulator::events::LogEntry;
 use scalebarrow_emulator::policy::{Policy, SenderStart};
@@ -73,6 +73,9 @@
     ) {
         self.time(|p| p.resume(now, id, event_type, destination, key, customer, ttl, tries, last_run, out));
     }
+    fn remember(&mut self, now: f64, memory: &ScopeMemory) {
+        self.time(|policy| policy.remember(now, memory));
+    }
     fn begin_shutdown(&mut self, now: f64, deadline: f64, out: &mut dyn ActionSink) {
         self.time(|policy| policy.begin_shutdown(now, deadline, out));
     }
--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -13,7 +13,7 @@
 use crate::list::{EndpointListUpdate, Health};
 use crate::notices::Notices;
 use crate::withheld::{RETRY_DELAY_SECS, WithheldAnswers};
-use scalebarrow::{ActionSink, ListUpdate, ListedEndpoint, Sender};
+use scalebarrow::{ActionSink, ListUpdate, ListedEndpoint, ScopeMemory, Sender};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -56,6 +56,8 @@
     /// Final answers by webhook number.
     final_answers: Vec<(u64, FinalAnswer)>,
     actions: Vec<Action>,
+    /// What has to be remembered of destinations and endpoints.
+    memories: Vec<ScopeMemory>,
 }
 
 impl ActionSink for Requested {
@@ -81,6 +83,9 @@
     fn close_idle_connections(&mut self, endpoint: &str) {
         self.actions.push(Action::CloseIdleConnections(endpoint.to_owned()));
     }
+    fn store_memory(&mut self, memory: ScopeMemory) {
+        self.memories.push(memory);
+    }
     fn log(&mut self, text: &str) {
         info!(text, "decision module");
     }
@@ -116,6 +121,17 @@
     )
 }
 
+/// Logs what is remembered of a destination or endpoint.
+fn log_memory(memory: &ScopeMemory, now: f64, event: &str) {
+    let (dest, ep) = (memory.destination, memory.endpoint.as_deref().unwrap_or("all"));
+    let wait_left = (memory.wait_until - now).max(0.0);
+    if memory.outage.is_some() {
+        info!(code = "outage", event, dest, ep, outage = ?memory.outage, wait_left, "an outage may not be over");
+    } else {
+        debug!(code = "outage", event, dest, ep, wait_left, "no outage is known");
+    }
+}
+
 /// Logs what the journal held at start: how many webhooks of each kind, and the age of the oldest attempt
 /// that may have run.
 fn log_journal_contents(journal: &Journal, pending: &[PendingWebhook], now: f64) {
@@ -205,6 +221,10 @@
         };
         bridge.journal.unacknowledged_numbers().into_iter().for_each(|number| bridge.notices.push(number));
         bridge.journal.take_ended_ids().into_iter().for_each(|id| bridge.remember_ended(id));
+        for memory in bridge.journal.take_memories() {
+            log_memory(&memory, now, "found");
+            bridge.sender.remember(now, &memory);
+        }
         let known = std::mem::take(&mut bridge.config.known_list.endpoints);
         bridge.update_list(
             now,
@@ -331,10 +351,21 @@
         self.endpoints.get(endpoint).map(|info| info.address)
     }
 
-    /// Finishes the webhooks for which the decision module has just requested a final answer. One that was
-    /// rejected when it was handed in is not in the journal and is skipped: its answer is the reply to the
-    /// client.
+    /// Records what the decision module has just asked to remember.
+    fn store_memories(&mut self, now: f64) {
+        for memory in std::mem::take(&mut self.requested.memories) {
+            log_memory(&memory, now, "changed");
+            if let Err(e) = self.journal.record_memory(&memory, now) {
+                warn!(code = "journal-write", %e, "an outage or a wait could not be recorded yet");
+            }
+        }
+    }
+
+    /// Records what has to be remembered, then finishes the webhooks for which the decision module has just
+    /// requested a final answer. One that was rejected when it was handed in is not in the journal and is
+    /// skipped: its answer is the reply to the client.
     fn apply_final_answers(&mut self, now: f64) {
+        self.store_memories(now);
         for (number, answer) in std::mem::take(&mut self.requested.final_answers) {
             self.finish_webhook(now, number, answer);
         }
--- a/crates/sender/src/bridge/calls.rs
+++ b/crates/sender/src/bridge/calls.rs
@@ -22,6 +22,7 @@
                 "the response asks for a delay"
             );
             self.sender.wait_requested(now, &call.endpoint, response.retry_after, &mut self.requested);
+            self.apply_final_answers(now);
         }
         for (webhook, result) in call.webhooks.iter().zip(results) {
             let CalledWebhook { number, id, attempt } = webhook;
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -14,8 +14,9 @@
 use attempts::AttemptTable;
 use cache::Cache;
 use format::Format;
-use records::WebhookMetadata;
 pub use records::{AttemptHistory, AttemptNumber, AttemptStart, FinalAnswer, Webhook, hash_ordering_key};
+use records::{ScopeRecord, WebhookMetadata};
+use scalebarrow::{RememberedOutage, ScopeMemory};
 use scalebarrow_store::{
     Files, FolderFiles, OnError, OpenSummary, Record, RecordKind, RecordPosition, ReplayedRecord, Store,
 };
@@ -29,6 +30,8 @@
 const OPEN: u8 = 0;
 /// The tag of a value that holds a final answer without an acknowledgement.
 const UNACKNOWLEDGED: u8 = 1;
+/// The tag of a value that holds what is remembered of a destination or endpoint.
+const SCOPE: u8 = 2;
 /// Disk space reserved for the records that follow that of a webhook, from its acceptance on.
 const RESERVED_BYTES_PER_WEBHOOK: u64 = 256;
 /// The number of most recently ended webhooks whose ids are still known after a restart.
@@ -52,6 +55,8 @@
     pending: Vec<PendingWebhook>,
     /// The ids of those that had ended last by then.
     ended_ids: Vec<String>,
+    /// What was remembered of destinations and endpoints when the journal was opened.
+    memories: Vec<ScopeMemory>,
 }
 
 /// What opening the journal collects from its records.
@@ -60,12 +65,16 @@
     open: BTreeMap<u64, WebhookMetadata>,
     attempts: AttemptTable,
     ended: VecDeque<(RecordKind, RecordPosition)>,
+    scopes: BTreeMap<u64, ScopeRecord>,
     last_number: u64,
 }
 
 impl Replay {
     fn apply(&mut self, record: ReplayedRecord) {
         let ReplayedRecord { kind, tag, key: number, metadata, position } = record;
+        if records::is_scope_key(number) {
+            return self.apply_scope(kind, number, metadata);
+        }
         self.last_number = self.last_number.max(number);
         match (kind, tag) {
             (RecordKind::Value, OPEN) => _ = self.open.insert(number, WebhookMetadata::decode(metadata)),
@@ -85,6 +94,13 @@
             (RecordKind::Checkpoint, _) => {}
         }
     }
+
+    fn apply_scope(&mut self, kind: RecordKind, key: u64, metadata: &[u8]) {
+        match postcard::from_bytes(metadata) {
+            Ok(record) if kind == RecordKind::Value => _ = self.scopes.insert(key, record),
+            _ => _ = self.scopes.remove(&key),
+        }
+    }
 }
 
 fn to_bytes(value: &impl serde::Serialize) -> io::Result<Vec<u8>> {
@@ -179,7 +195,7 @@
         let mut replay = Replay::default();
         let (mut store, OpenSummary { torn_bytes: dropped_bytes, .. }) =
             Store::open(files, segments_limit(max_bytes), |record| replay.apply(record))?;
-        let Replay { open, mut attempts, ended, last_number } = replay;
+        let Replay { open, mut attempts, ended, scopes, last_number } = replay;
         attempts.retain(|number| open.contains_key(&number));
         let ended_ids =
             ended.into_iter().filter_map(|(kind, position)| read_ended_id(&mut store, kind, position));
@@ -202,6 +218,7 @@
             next_number,
             pending,
             ended_ids,
+            memories: scopes.into_values().map(ScopeMemory::from).collect(),
         };
         Ok((journal, dropped_bytes as usize))
     }
@@ -256,6 +273,31 @@
         std::mem::take(&mut self.ended_ids)
     }
 
+    /// Takes what was remembered of destinations and endpoints when the journal was opened. After a reboot
+    /// their waits have ended, as all stored time spans.
+    pub fn take_memories(&mut self) -> Vec<ScopeMemory> {
+        let mut memories = std::mem::take(&mut self.memories);
+        if !self.same_boot {
+            for memory in &mut memories {
+                memory.wait_until = 0.0;
+                memory.outage = memory.outage.map(|_| RememberedOutage::Down);
+            }
+        }
+        memories
+    }
+
+    /// Records what has to be remembered of a destination or endpoint, or removes the record where that is
+    /// over.
+    pub fn record_memory(&mut self, memory: &ScopeMemory, now: f64) -> io::Result<()> {
+        let key = records::scope_key(memory);
+        if memory.is_over(now) {
+            return if self.store.tag(key).is_some() { self.write_tombstone(key, &[]) } else { Ok(()) };
+        }
+        let metadata = to_bytes(&ScopeRecord::from(memory))?;
+        let record = Record { kind: RecordKind::Value, tag: SCOPE, key, metadata: &metadata, payload: &[] };
+        self.store.append(&record, OnError::Defer)
+    }
+
     /// Whether a step of compaction is due.
     pub fn needs_compaction(&self) -> bool {
         self.store.needs_compaction()
--- a/crates/sender/src/journal/records.rs
+++ b/crates/sender/src/journal/records.rs
@@ -1,6 +1,7 @@
 //! The contents of the journal's records.
 
 use crate::backlog::PendingWebhook;
+use scalebarrow::{RememberedOutage, ScopeMemory};
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
@@ -113,6 +114,52 @@
     hash(ordering_key)
 }
 
+/// What is remembered of a destination, or of one independent endpoint. Times are seconds on the folder's
+/// [timeline](crate::clock::Timeline).
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ScopeRecord {
+    destination: u64,
+    endpoint: Option<String>,
+    wait_until: f64,
+    /// Whether an outage may not be over, and since when calls are delivered again.
+    outage: Option<Option<f64>>,
+}
+
+/// The keys of records of scopes; webhooks have lower ones.
+const FIRST_SCOPE_KEY: u64 = 1 << 63;
+
+/// Whether a record belongs to a scope rather than to a webhook.
+pub fn is_scope_key(key: u64) -> bool {
+    key >= FIRST_SCOPE_KEY
+}
+
+/// The key of the record of a scope.
+pub fn scope_key(memory: &ScopeMemory) -> u64 {
+    let endpoint = memory.endpoint.as_deref().map_or_else(String::new, |endpoint| format!("/{endpoint}"));
+    FIRST_SCOPE_KEY | hash(&format!("{}{endpoint}", memory.destination))
+}
+
+impl From<&ScopeMemory> for ScopeRecord {
+    fn from(memory: &ScopeMemory) -> Self {
+        let outage = memory.outage.map(|outage| match outage {
+            RememberedOutage::Down => None,
+            RememberedOutage::Recovering(since) => Some(since),
+        });
+        let (destination, endpoint) = (memory.destination, memory.endpoint.clone());
+        ScopeRecord { destination, endpoint, wait_until: memory.wait_until, outage }
+    }
+}
+
+impl From<ScopeRecord> for ScopeMemory {
+    fn from(record: ScopeRecord) -> Self {
+        let outage = record
+            .outage
+            .map(|recovered_at| recovered_at.map_or(RememberedOutage::Down, RememberedOutage::Recovering));
+        let ScopeRecord { destination, endpoint, wait_until, .. } = record;
+        ScopeMemory { destination, endpoint, wait_until, outage }
+    }
+}
+
 /// The metadata of an open webhook's record: what a start has to know without reading the webhook itself.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WebhookMetadata {
--- a/crates/sender/src/journal/tests.rs
+++ b/crates/sender/src/journal/tests.rs
@@ -506,3 +506,30 @@
         assert!(disk.total_bytes() <= 3_000_000);
     }
 }
+
+/// Guards against outages and waits that a restart forgets, and against records of them that take the numbers
+/// of webhooks.
+#[test]
+fn outages_and_waits_are_remembered_until_they_are_over() {
+    let files = MemoryFiles::default();
+    let memory = |endpoint: Option<&str>, wait_until, outage| ScopeMemory {
+        destination: 7,
+        endpoint: endpoint.map(str::to_owned),
+        wait_until,
+        outage,
+    };
+    let (down, recovering) = (RememberedOutage::Down, RememberedOutage::Recovering(2.5));
+    let mut journal = open(&files);
+    journal.record_memory(&memory(None, 9.0, None), 1.0).unwrap();
+    journal.record_memory(&memory(Some("a"), 0.0, Some(down)), 1.0).unwrap();
+    journal.record_memory(&memory(Some("a"), 0.0, Some(recovering)), 2.5).unwrap();
+    journal.record_memory(&memory(Some("b"), 0.0, Some(down)), 1.0).unwrap();
+    journal.record_memory(&memory(Some("b"), 0.0, None), 3.0).unwrap();
+    drop(journal);
+    let mut journal = open(&files);
+    let mut memories = journal.take_memories();
+    memories.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
+    assert_eq!(memories, [memory(None, 9.0, None), memory(Some("a"), 0.0, Some(recovering))]);
+    assert_eq!((journal.next_number(), journal.open_count()), (1, 0));
+    assert!(journal.unacknowledged_numbers().is_empty() && journal.take_pending().is_empty());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -96,6 +96,36 @@
     pub started_at: f64,
 }
 
+/// What a sender has to remember of a destination, or of one independent endpoint of it, after a restart.
+/// Times are on the caller's clock.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScopeMemory {
+    /// The destination.
+    pub destination: u64,
+    /// The endpoint, if it has outages and waits of its own.
+    pub endpoint: Option<String>,
+    /// Until when it asked for no calls.
+    pub wait_until: f64,
+    /// Its outage, if it had one that this sender saw and that may not be over.
+    pub outage: Option<RememberedOutage>,
+}
+
+/// How far an outage is over.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RememberedOutage {
+    /// No call has been delivered since it began.
+    Down,
+    /// Calls are delivered again since this time; the destination warms up.
+    Recovering(f64),
+}
+
+impl ScopeMemory {
+    /// Whether nothing has to be remembered at this time.
+    pub fn is_over(&self, now: f64) -> bool {
+        self.outage.is_none() && self.wait_until <= now
+    }
+}
+
 /// Receives the actions that a sender decides on.
 pub trait ActionSink {
     /// Call `endpoint` with the webhook; the attempt times out at `give_up_at`.
@@ -113,6 +143,9 @@
     fn watch_list(&mut self, enabled: bool);
     /// Close the idle connections to an endpoint.
     fn close_idle_connections(&mut self, endpoint: &str);
+    /// Store this, in place of what was stored for the same destination and endpoint, so that
+    /// [`Sender::remember`] can restore it after a restart.
+    fn store_memory(&mut self, _memory: ScopeMemory) {}
     /// Write a log line for the operators.
     fn log(&mut self, text: &str);
 }
@@ -218,6 +251,11 @@
         self.0.run_rules(actions);
     }
 
+    /// Restores after a restart what was stored of a destination, before the endpoint list is known.
+    pub fn remember(&mut self, now: f64, memory: &ScopeMemory) {
+        self.0.remember(now, memory);
+    }
+
     /// Accepts a webhook under an id above 0; it expires in `ttl_left` seconds.
     #[allow(clippy::too_many_arguments)]
     pub fn accept(
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,12 +11,14 @@
 //! 4. `cold_budget`: outages, this sender's share of the calls to a cold destination, warm-up
 //! 5. `admission`, `connections`: which webhooks get scarce slots and memory; scarce and stale connections
 //! 6. `retries`: attempt timeouts and retries
-//! 7. `wake`: when a rule can match without a further input
+//! 7. `memory`: what outlives a restart of outages and waits
+//! 8. `wake`: when a rule can match without a further input
 
 mod admission;
 mod cold_budget;
 mod connections;
 mod endpoint_list;
+mod memory;
 mod repeats;
 mod retries;
 mod routing;
@@ -26,7 +28,10 @@
 use crate::chance::{Rng, hash};
 use crate::index::{IdleDestinations, KeysByKind, OrderedF64, PendingEntry, PendingWebhooks, median};
 use crate::state::*;
-use crate::{ActionSink, ListUpdate, ListedEndpoint, NotSentReason, Outcome, RepeatSafety};
+use crate::{
+    ActionSink, ListUpdate, ListedEndpoint, NotSentReason, Outcome, RememberedOutage, RepeatSafety,
+    ScopeMemory,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A route that was unused for this long is treated as new: the span for which `docs/design.md` trusts what
@@ -129,6 +134,10 @@
     unused_routes: UnusedRoutes,
     /// When the process will end.
     pub shutdown_at: f64,
+    /// Scopes whose outage or wait may have changed since it was stored.
+    changed_scopes: BTreeSet<LimitScope>,
+    /// Outages that the process before this one saw, until their endpoints are listed.
+    remembered_outages: BTreeMap<LimitScope, RememberedOutage>,
 }
 
 impl RuleEngine {
@@ -146,6 +155,7 @@
 
     /// Applies rules until none matches.
     pub fn run_rules(&mut self, actions: &mut dyn ActionSink) {
+        self.store_memories(actions);
         // Every action ends or sends a webhook or moves a time, so the loop ends; the bound guards against a
         // bug there.
         let mut last = "";
--- a/src/logic/cold_budget.rs
+++ b/src/logic/cold_budget.rs
@@ -201,6 +201,7 @@
     /// Marks the routes of a scope as in an outage, and cold afterwards, unless a call sent at or after
     /// `since` was delivered there.
     pub(super) fn mark_cold(&mut self, scope: &LimitScope, since: f64) {
+        self.changed_scopes.insert(scope.clone());
         let all = || self.endpoints.get(&scope.0).map_or(&[][..], Vec::as_slice);
         for endpoint in scope.1.as_ref().map_or_else(all, std::slice::from_ref) {
             if let Some(route) = self.routes.get_mut(endpoint)
--- a/src/logic/endpoint_list.rs
+++ b/src/logic/endpoint_list.rs
@@ -63,7 +63,8 @@
                 route.zone_cost = self.zone_costs.get(&route.zone).copied().unwrap_or(0.0);
                 (route.tail_latency, route.health_score) =
                     (Self::tail_latency(&route.samples), Self::health_score(&route.samples));
-                self.routes.insert(endpoint, route);
+                self.routes.insert(endpoint.clone(), route);
+                self.recall_outage(&endpoint);
             }
             let Some(route) = self.routes.get_mut(entry.endpoint) else { continue };
             (route.ready, route.listed_rate) =
@@ -142,6 +143,7 @@
             if self.rate_limiters.get(&scope).is_some_and(|limiter| limiter.wait_until <= self.now) {
                 self.rate_limiters.remove(&scope);
             }
+            self.changed_scopes.insert(scope);
         }
     }
 }
--- a/src/logic/repeats.rs
+++ b/src/logic/repeats.rs
@@ -18,6 +18,10 @@
         (webhook.attempts, webhook.may_have_run) =
             (attempts, may_have_run.map(|(zone, sent_at)| (zone.into(), sent_at)));
         let key = webhook.ordering_key.clone().filter(|_| webhook.may_have_run.is_some());
+        let destination = webhook.destination;
+        if attempts > 0 {
+            self.suspect_outage(destination);
+        }
         self.make_pending(id);
         if let Some(key) = key {
             self.key_cooldown_until.insert(key.clone(), self.now + self.key_cooldown);
--- a/src/logic/retries.rs
+++ b/src/logic/retries.rs
@@ -106,6 +106,7 @@
         if let Outcome::Full(wait @ 0.001..) = outcome {
             // 1 ms more, so that rounding cannot end it early. Each webhook of a batch reports the same wait.
             limiter.wait_until = limiter.wait_until.max(now + wait + 0.001);
+            self.changed_scopes.insert(scope.clone());
         }
         let Some(position) = route.calls.iter().position(|call| call.webhook_ids.contains(&id)) else {
             return false;
@@ -202,6 +203,9 @@
                 if std::mem::take(&mut route.circuit_open) {
                     route.samples.clear();
                 }
+                if route.cold {
+                    self.changed_scopes.insert(scope.clone());
+                }
                 recovers = route.cold && route.recovered_at.is_none();
                 if route.cold && now - *route.recovered_at.get_or_insert(now) > self.cold_start.warm_up {
                     (route.cold, route.recovered_at) = (false, None);
--- a/src/logic/waits.rs
+++ b/src/logic/waits.rs
@@ -137,6 +137,7 @@
         let extra = if limit_reached { pause.max(spread) } else { spread };
         let delay = if wait > 0.0 { wait + extra * jitter } else { pause.max(spread * (0.2 + 1.6 * jitter)) };
         limiter.wait_until = limiter.wait_until.max(now + delay);
+        self.changed_scopes.insert(scope.clone());
         limiter.limit_reached_at = if limit_reached { now } else { f64::NEG_INFINITY };
         // The share shrinks by a fifth, or by half if far above an even part, since refused calls count
         // against most limits.
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,8 +3,8 @@
 //! Unless said otherwise, times are seconds on the caller's clock, durations are seconds, and rates are calls
 //! per second.
 
-use crate::RepeatSafety;
 use crate::index::Timers;
+use crate::{RepeatSafety, ScopeMemory};
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -213,6 +213,8 @@
     pub last_delivered_at: Option<f64>,
     /// The calls that failed since then.
     pub failures: Option<FailureRun>,
+    /// What was last stored for a restart, if that is not over.
+    pub stored: Option<ScopeMemory>,
 }
 
 /// Calls that failed in whatever way, with none delivered in between.
