Where no rate is known, every sender counts in the cold budget

Callers saw destinations without a listed rate go down again at their return, whatever their outage looked like.

Cause: how many senders may want a destination was taken from the webhooks that came since the outage began, 2 x rate x time + 1. A rate that is not known is 0 there, so each of 40 senders paced itself as if it were alone.

Every sender counts there now. The budget is drawn from the rate that all senders had delivered at least, judged by this sender's own deliveries of the last minute less one deviation, a call a second at least as before.

--- a/src/logic/cold_budget.rs
+++ b/src/logic/cold_budget.rs
@@ -23,11 +23,9 @@
             .capacity_share(route.recovered_at.map_or(0.0, |recovered_at| self.now - recovered_at));
         // A reduced limit does not make the destination weaker: the listed rate counts.
         let full_rate = self.rate_limit(route, limiter).max(route.listed_rate);
-        // One call per second where no rate is known: an unknown rate must not block a route forever.
-        let budget = if full_rate > 0.0 { full_rate } else { 1.0 }
-            * capacity_share
-            * self.cold_start.overload_multiple
-            * self.cold_start.overload_span;
+        let full_rate = if full_rate > 0.0 { full_rate } else { self.observed_rate(limiter) };
+        let budget =
+            full_rate * capacity_share * self.cold_start.overload_multiple * self.cold_start.overload_span;
         // What overloads it; a third of that is left to senders that may not have noticed the outage.
         let overload = (budget + 2.0 * budget.sqrt() + 2.0) * (wanting / self.sender_count).max(2.0 / 3.0);
         // Independent calls stay within one standard deviation of their mean, since fewer senders want the
@@ -36,6 +34,15 @@
         mean.max(overload - wanting).min(budget) / self.cold_start.overload_span
     }
 
+    /// Calls per second of all senders that a scope has taken at least, judged by this sender's own, less one
+    /// standard deviation. One call per second if there were few: an unknown rate must not block a route
+    /// forever.
+    fn observed_rate(&self, limiter: Option<&RateLimiter>) -> f64 {
+        let deliveries = limiter.map_or(DeliveryAverage::default(), |limiter| limiter.deliveries);
+        let certain = (deliveries.count - deliveries.count.sqrt()).max(0.0);
+        (certain / deliveries.span().max(1.0) * self.sender_count).max(1.0)
+    }
+
     /// Seconds until each sender that may want a scope that is cold or in an outage has made one call within
     /// the cold budget. No more senders are counted than webhooks arrived since the failures began and have
     /// not expired.
@@ -49,7 +56,8 @@
         let since = last_delivered_at.map_or(since, |last_delivered_at| since.min(last_delivered_at));
         // Twice the expected number: the few calls of many senders can arrive clustered.
         let arrived = 2.0 * rate * (self.now - since).clamp(0.0, longest_ttl) + 1.0;
-        let wanting = arrived.min(self.sender_count);
+        // Where no rate is known, nor is how many webhooks arrived: every sender counts.
+        let wanting = if rate > 0.0 { arrived.min(self.sender_count) } else { self.sender_count };
         let wait = wanting / self.cold_call_rate(route, limiter, wanting);
         // After the recovery the budget grows linearly, so the calls made until a time are a quadratic
         // function of it.
--- a/src/logic/retries.rs
+++ b/src/logic/retries.rs
@@ -175,6 +175,7 @@
             }
             Outcome::Delivered => {
                 (route.last_answer_at, limiter.last_delivered_at) = (now, Some(now));
+                limiter.deliveries.record(now);
                 self.connection_scarcity.entry(route.destination_kind.clone()).or_default().1 += 1;
                 if route.connect_failed_at.is_some_and(|failed_at| now < failed_at + 4.0) {
                     // A connect failed just before: too brief for an outage, so connections are scarce there,
--- a/src/state.rs
+++ b/src/state.rs
@@ -211,12 +211,42 @@
     pub next_cold_call_at: f64,
     /// When a call was last delivered.
     pub last_delivered_at: Option<f64>,
+    /// How many calls were delivered lately, as of the last one.
+    pub deliveries: DeliveryAverage,
     /// The calls that failed since then.
     pub failures: Option<FailureRun>,
     /// What was last stored for a restart, if that is not over.
     pub stored: Option<ScopeMemory>,
 }
 
+/// A count of deliveries in which each loses weight exponentially with its age.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct DeliveryAverage {
+    /// The weight of all deliveries when the last one came.
+    pub count: f64,
+    first_at: f64,
+    last_at: f64,
+}
+
+impl DeliveryAverage {
+    /// The time in which the weight of a delivery falls to 1/e.
+    const DECAY_SECS: f64 = 60.0;
+
+    /// Counts a delivery.
+    pub fn record(&mut self, now: f64) {
+        if self.count == 0.0 {
+            (self.first_at, self.last_at) = (now, now);
+        }
+        self.count = self.count * (-(now - self.last_at) / Self::DECAY_SECS).exp() + 1.0;
+        self.last_at = now;
+    }
+
+    /// The seconds, weighted alike, in which the deliveries came.
+    pub fn span(&self) -> f64 {
+        Self::DECAY_SECS * (1.0 - (-(self.last_at - self.first_at) / Self::DECAY_SECS).exp())
+    }
+}
+
 /// Calls that failed in whatever way, with none delivered in between.
 #[derive(Clone, Copy)]
 pub(crate) struct FailureRun {
