--- a/src/logic/repeats.rs
+++ b/src/logic/repeats.rs
@@ -19,7 +19,8 @@
             (attempts, may_have_run.map(|(zone, sent_at)| (zone.into(), sent_at)));
         let key = webhook.ordering_key.clone().filter(|_| webhook.may_have_run.is_some());
         let destination = webhook.destination;
-        if attempts > 0 {
+        // A single attempt that may have run was most likely in flight when the process ended.
+        if attempts > 1 || (attempts == 1 && may_have_run.is_none()) {
             self.suspect_outage(destination);
         }
         self.make_pending(id);
