--- a/crates/lab/tests/returns.rs
+++ b/crates/lab/tests/returns.rs
@@ -1,5 +1,6 @@
 //! Random days on which destinations have an outage and return, through the command line.
 
+#[allow(dead_code)]
 mod helpers;
 use helpers::{empty_folder, run_lab, stdout};
 
