review/1, review/2: the settings name the kinds and event types of their sites

Done: all kinds of destination of both sites, and all event types of ferry-desk; receivers of case 2 are kiosks.

--- a/review/bench/src/slow_list.rs
+++ b/review/bench/src/slow_list.rs
@@ -89,14 +89,20 @@
         host: host.into(),
         address,
         zone: "pier-1".into(),
-        kind: "quays".into(),
+        kind: "kiosks".into(),
         destination,
         health,
         rate: 40.0,
     }
 }
 
-/// Hands in a webhook and records the answer.
+fn class(
+    name: &'static str, effect: &'static str, group: &'static str, deadline_ms: u64, window_ms: u64,
+) -> Class {
+    Class { name, effect, group, deadline_ms, window_ms, ordered: false }
+}
+
+/// Hands in a webhook.
 fn hand_in(sender: SocketAddr, id: &str, destination: u64) -> Option<Message> {
     let request = format!(
         "POST /tide-table HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Deadline: 6000m\r\n\
@@ -121,15 +127,13 @@
         platform.set_answer_delay(ANSWER_DELAY);
     }
     let settings = Settings {
-        classes: vec![Class {
-            name: "tide-table",
-            effect: "free",
-            group: "all",
-            deadline_ms: 6000,
-            window_ms: 0,
-            ordered: false,
-        }],
-        kinds: vec![("quays", 1, false)],
+        classes: vec![
+            class("berth-change", "guarded", "zone", 16_000, 15_000),
+            class("gate-call", "guarded", "all", 1_900, 1_000),
+            class("fare-charge", "single_shot", "all", 20_000, 0),
+            class("tide-table", "free", "all", 6_000, 0),
+        ],
+        kinds: vec![("ports", 20, true), ("depots", 1, false), ("kiosks", 1, false)],
         mode: "ask",
         slots: 8,
         open_cap: 100,
--- a/review/bench/src/store_end.rs
+++ b/review/bench/src/store_end.rs
@@ -124,7 +124,7 @@
             window_ms: 15_000,
             ordered: false,
         }],
-        kinds: vec![("nurseries", 1, false)],
+        kinds: vec![("chains", 20, true), ("shops", 1, false), ("nurseries", 1, false)],
         mode: "push",
         slots: 17,
         open_cap: 384,
