A segment is sealed only if a byte of its header says so: no body is read as a seal

Cause: opening the folder took a segment for sealed by the magic at the end of its file. In an unsealed segment these are the last bytes of a client's body; a forged checkpoint there hides every record of the segment. Two kinds of segments are unsealed: the last one, and one whose seal could not be written.

Change: the header has a seal byte, written in place behind a complete checkpoint and trailer, in front of all records. Without it a segment is read by the lengths of its frames. Version 001 has no such byte: sealed only if its frames lead to the checkpoint. It is read, not written; an older program refuses the folder ("has an unsupported segment format version"). No seal is written behind a torn record that could not be cut off. The shim fails writes in place too.

--- a/crates/fault-shim/src/files.rs
+++ b/crates/fault-shim/src/files.rs
@@ -19,6 +19,7 @@
 type Open = unsafe extern "C" fn(*const c_char, c_int, mode_t) -> c_int;
 type Close = unsafe extern "C" fn(c_int) -> c_int;
 type Write = unsafe extern "C" fn(c_int, *const c_void, size_t) -> ssize_t;
+type WriteAt = unsafe extern "C" fn(c_int, *const c_void, size_t, off64_t) -> ssize_t;
 type Truncate = unsafe extern "C" fn(c_int, off64_t) -> c_int;
 type Rename = unsafe extern "C" fn(*const c_char, *const c_char) -> c_int;
 type Sync = unsafe extern "C" fn(c_int) -> c_int;
@@ -92,23 +93,45 @@
     real!(close(descriptor) as Close)
 }
 
-/// Replaces the function of the C library.
-///
-/// # Safety
-/// As for the C library's function: `bytes` must be valid for `byte_count` bytes.
-#[unsafe(no_mangle)]
-pub unsafe extern "C" fn write(descriptor: c_int, bytes: *const c_void, byte_count: size_t) -> ssize_t {
+/// How many of these bytes a write to a descriptor may write now, or the `errno` with which it fails.
+fn writable_byte_count(descriptor: c_int, byte_count: size_t) -> Result<size_t, c_int> {
     if !is_marked(descriptor) {
-        return real!(write(descriptor, bytes, byte_count) as Write);
+        return Ok(byte_count);
     }
     match current_fault() {
-        None => real!(write(descriptor, bytes, byte_count) as Write),
+        None => Ok(byte_count),
         // The caller writes the rest in further calls, until the one for the last byte fails.
         Some((FolderFault::NoSpaceAfterHalf | FolderFault::IoErrorAfterHalf, _)) if byte_count > 1 => {
             control::increment(ControlWord::FolderFaults);
-            real!(write(descriptor, bytes, byte_count / 2) as Write)
+            Ok(byte_count / 2)
         }
-        Some((_, errno)) => fail_and_count(errno) as ssize_t,
+        Some((_, errno)) => Err(errno),
+    }
+}
+
+/// Replaces the function of the C library.
+///
+/// # Safety
+/// As for the C library's function: `bytes` must be valid for `byte_count` bytes.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn write(descriptor: c_int, bytes: *const c_void, byte_count: size_t) -> ssize_t {
+    match writable_byte_count(descriptor, byte_count) {
+        Ok(byte_count) => real!(write(descriptor, bytes, byte_count) as Write),
+        Err(errno) => fail_and_count(errno) as ssize_t,
+    }
+}
+
+/// Replaces the function of the C library.
+///
+/// # Safety
+/// As for the C library's function: `bytes` must be valid for `byte_count` bytes.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn pwrite64(
+    descriptor: c_int, bytes: *const c_void, byte_count: size_t, offset: off64_t,
+) -> ssize_t {
+    match writable_byte_count(descriptor, byte_count) {
+        Ok(byte_count) => real!(pwrite64(descriptor, bytes, byte_count, offset) as WriteAt),
+        Err(errno) => fail_and_count(errno) as ssize_t,
     }
 }
 
--- a/crates/fault-shim/tests/shim.rs
+++ b/crates/fault-shim/tests/shim.rs
@@ -4,6 +4,7 @@
     CONTROL_FILE_VARIABLE, ControlFile, ControlWord, FolderFault, STATE_FOLDER_VARIABLE, find_shim,
 };
 use std::fs;
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -45,6 +46,10 @@
             }
             println!("paused={}", began_at.elapsed().as_millis());
         }
+        "overwrite" => {
+            let file = fs::OpenOptions::new().write(true).open(folder.join("file")).unwrap();
+            println!("wrote={:?}", file.write_all_at(b"x", 5).map_err(|error| error.kind()));
+        }
         _ => println!(
             "wrote={:?}",
             fs::write(folder.join("file"), b"0123456789").map_err(|error| error.kind())
@@ -85,10 +90,11 @@
 fn writes_to_the_state_folder_fail_while_the_fault_is_set() {
     let folder = create_folder("files");
     let control = ControlFile::create(&folder.join("control")).unwrap();
-    let write_result = || value(&run_role("write", &control, &folder), "wrote=");
-    assert_eq!(write_result(), "Ok(())");
+    let result = |role: &str| value(&run_role(role, &control, &folder), "wrote=");
+    let results = || ["write", "overwrite"].map(result);
+    assert_eq!(results(), ["Ok(())"; 2]);
     control.set(ControlWord::FolderFault, FolderFault::NoSpace as u64).unwrap();
-    assert_eq!(write_result(), "Err(StorageFull)");
+    assert_eq!(results(), ["Err(StorageFull)"; 2]);
     control.set(ControlWord::FolderFault, FolderFault::None as u64).unwrap();
-    assert_eq!(write_result(), "Ok(())");
+    assert_eq!(results(), ["Ok(())"; 2]);
 }
--- a/crates/sender/src/journal/tests.rs
+++ b/crates/sender/src/journal/tests.rs
@@ -484,6 +484,31 @@
     }
 }
 
+/// Guards against work that nobody handed in: a body of the single file that holds whole records, in a record
+/// that a kill cut off, must not be read as records.
+#[test]
+fn records_within_a_cut_record_of_the_single_file_are_not_read() {
+    let mut body = Vec::new();
+    for record in [
+        LegacyRecord::Accepted(8, webhook("not handed in", 10), AttemptHistory::default()),
+        LegacyRecord::Ended(1, "a".into(), FinalAnswer::Over),
+    ] {
+        append_legacy_record(&mut body, &record);
+    }
+    let forged = Webhook { body, ..webhook("forged", 0) };
+    let mut whole = legacy_file();
+    append_legacy_record(&mut whole, &LegacyRecord::Accepted(9, forged.clone(), AttemptHistory::default()));
+    for (cut_bytes, expected_numbers) in [(0, vec![1, 2, 9]), (1, vec![1, 2]), (20, vec![1, 2])] {
+        let mut files = MemoryFiles::default();
+        files.create("journal").unwrap();
+        files.append("journal", &whole[..whole.len() - cut_bytes]).unwrap();
+        let mut journal = open(&files);
+        assert_eq!(open_numbers(&journal), expected_numbers);
+        let forged_webhook = journal.open_webhook(9).map(|webhook| (*webhook).clone());
+        assert_eq!(forged_webhook, (cut_bytes == 0).then(|| forged.clone()));
+    }
+}
+
 #[test]
 fn a_larger_single_file_is_converted_within_the_disk_limit() {
     let disk = MemoryFiles::default();
--- a/crates/sender/tests/program/folder.rs
+++ b/crates/sender/tests/program/folder.rs
@@ -4,6 +4,7 @@
     Action, Endpoint, OK_RESPONSE, Platform, Program, endpoint_entry, endpoint_list, unique_address,
 };
 use scalebarrow_fault_control::FolderFault;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Guards against a start that fails because the partial record left by a kill cannot be truncated.
@@ -64,3 +65,44 @@
         }
     }
 }
+
+/// The end of a sealed segment without records whose last byte is the last of a file of this length: a
+/// checkpoint and a trailer, as crates/store/src/frame.rs describes them.
+fn empty_seal(segment_id: u64, file_length: u64) -> Vec<u8> {
+    let checkpoint = [&[4, 0][..], &segment_id.to_le_bytes(), &[0, 0]].concat();
+    let mut seal = (checkpoint.len() as u32).to_le_bytes().to_vec();
+    seal.extend(crc32fast::hash(&checkpoint).to_le_bytes());
+    seal.extend(&checkpoint);
+    let checkpoint_offset = file_length - (seal.len() + 8 + b"SBSEGEND".len()) as u64;
+    seal.extend(checkpoint_offset.to_le_bytes());
+    seal.extend(b"SBSEGEND");
+    seal
+}
+
+/// Guards against webhooks that are lost at a restart because the body of one of them reads as the seal of the
+/// segment that holds them all.
+#[test]
+fn a_body_like_a_seal_hides_no_webhook_from_the_process_after_a_kill() {
+    let endpoint = Endpoint::start(|_, _| Action::Respond(OK_RESPONSE));
+    let entry = |health| endpoint_entry("a", endpoint.address, "plain", health);
+    let initial_list = endpoint_list(1, true, &[entry("DRAINING")]);
+    let platform = Platform::start(initial_list.clone(), 0);
+    let mut program = Program::start(&platform, &initial_list, &[]);
+    let segment = program.folder.join("state/segment-0000000001");
+    let segment_length = || std::fs::metadata(&segment).unwrap().len();
+    let ids = ["held-1", "held-2", "seal-1", "seal-2"];
+    for id in &ids[..2] {
+        assert_eq!(program.submit_webhook("idem", id, 8000, b"a body"), 202);
+    }
+    // Both bodies have the same length, so the first one tells what the record of the second one takes up.
+    let length_before = segment_length();
+    assert_eq!(program.submit_webhook("idem", ids[2], 8000, &empty_seal(1, length_before)), 202);
+    let record_length = segment_length() - length_before;
+    let body = empty_seal(1, segment_length() + record_length);
+    assert_eq!(program.submit_webhook("idem", ids[3], 8000, &body), 202);
+    assert_eq!(segment_length(), length_before + 2 * record_length);
+    program.kill_and_restart();
+    platform.answer_watch(endpoint_list(2, false, &[entry("SERVING")]));
+    let called: BTreeSet<String> = ids.iter().map(|_| endpoint.next_call().id()).collect();
+    assert_eq!(called, ids.map(String::from).into());
+}
--- a/crates/store/src/faulty.rs
+++ b/crates/store/src/faulty.rs
@@ -10,11 +10,15 @@
 pub enum Fault {
     /// The process is killed before this operation: it and all later operations fail and change nothing.
     KillBefore(u64),
-    /// The process is killed during this operation: an append writes only this percentage of its bytes.
+    /// The process is killed during this operation: an append or an overwrite writes only this percentage of
+    /// its bytes.
     KillWithin(u64, u8),
-    /// The disk is full for `operation_count` operations from `first_operation` on: an append writes only
-    /// `written_percent` percent of its bytes.
+    /// The disk is full for `operation_count` operations from `first_operation` on: an append or an overwrite
+    /// writes only `written_percent` percent of its bytes.
     Full { first_operation: u64, operation_count: u64, written_percent: u8 },
+    /// All operations fail, `operation_count` of them from `first_operation` on: an append or an overwrite
+    /// writes only `written_percent` percent of its bytes.
+    Failing { first_operation: u64, operation_count: u64, written_percent: u8 },
     /// This single operation fails and changes nothing.
     Once(u64),
 }
@@ -70,6 +74,11 @@
             {
                 Ok(Some((written_percent, ErrorKind::StorageFull.into())))
             }
+            Some(Fault::Failing { first_operation, operation_count, written_percent })
+                if (first_operation..first_operation + operation_count).contains(&operation) =>
+            {
+                Ok(Some((written_percent, io::Error::other("injected failure of several operations"))))
+            }
             Some(Fault::Once(fault_operation)) if operation == fault_operation => {
                 Err(io::Error::other("injected failure of a single operation"))
             }
@@ -78,6 +87,11 @@
     }
 }
 
+/// Returns the first `percent` percent of some bytes.
+fn part(bytes: &[u8], percent: u8) -> &[u8] {
+    &bytes[..bytes.len() * usize::from(percent.min(100)) / 100]
+}
+
 impl<F: Files> Files for FaultyFiles<F> {
     fn list(&self) -> io::Result<Vec<String>> {
         self.check_not_killed()?;
@@ -100,8 +114,17 @@
         match self.count_operation(true)? {
             None => self.files.append(name, bytes),
             Some((written_percent, error)) => {
-                self.files
-                    .append(name, &bytes[..bytes.len() * usize::from(written_percent.min(100)) / 100])?;
+                self.files.append(name, part(bytes, written_percent))?;
+                Err(error)
+            }
+        }
+    }
+
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        match self.count_operation(true)? {
+            None => self.files.write_at(name, offset, bytes),
+            Some((written_percent, error)) => {
+                self.files.write_at(name, offset, part(bytes, written_percent))?;
                 Err(error)
             }
         }
--- a/crates/store/src/files.rs
+++ b/crates/store/src/files.rs
@@ -19,6 +19,9 @@
     /// need only disk space (no new file descriptor) until another file is appended to.
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
 
+    /// Overwrites bytes of an existing file in place, within its present length.
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()>;
+
     /// Fills the whole buffer from an offset in a file; fails with `UnexpectedEof` if the file ends earlier.
     fn read_at(&mut self, name: &str, offset: u64, buffer: &mut [u8]) -> io::Result<()>;
 
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        // A handle for appending would ignore the offset. It is closed first, so that no more than two files
+        // are open at once.
+        self.last_appended = None;
+        OpenOptions::new().write(true).open(self.folder.join(name))?.write_all_at(bytes, offset)
+    }
+
     fn read_at(&mut self, name: &str, offset: u64, buffer: &mut [u8]) -> io::Result<()> {
         if self.last_read.as_ref().is_none_or(|(open_name, _)| open_name != name) {
             self.last_read = None;
--- a/crates/store/src/frame.rs
+++ b/crates/store/src/frame.rs
@@ -2,21 +2,36 @@
 //!
 //! ```text
 //! segment    = header frame* [checkpoint trailer]
-//! header     = "SBSEG" version:3 id:8
+//! header     = "SBSEG" "002" id:4 seal:1 zero:3
 //! frame      = length:4 checksum:4 kind:1 tag:1 key:8 metadata-length:2 metadata payload
 //!              (length and checksum cover the fields after them)
 //! checkpoint = a frame of kind Checkpoint whose payload is item*
 //! item       = kind:1 tag:1 key:8 offset:4 length:4 metadata-length:2 metadata
 //! trailer    = offset of the checkpoint:8 "SBSEGEND"
 //! ```
+//!
+//! A segment is sealed if, and only if, the seal byte of its header says so: the store writes that byte itself,
+//! at a fixed offset in front of all records, after the checkpoint and the trailer. In a segment that is not
+//! sealed, each frame is found by the lengths of the frames in front of it; so bytes within a record are never
+//! read as a seal, a checkpoint or another record, whatever they are and wherever a write was cut off.
+//!
+//! Version 001 had `id:8` in place of the id, the seal byte and the zeros, so its header does not tell whether
+//! the segment is sealed. It is, if the lengths of its frames lead from the header to a checkpoint to which
+//! the trailer points.
 
 use std::io;
 
 const SEGMENT_NAME_PREFIX: &str = "segment-";
 const HEADER_MAGIC: &[u8; 5] = b"SBSEG";
-const FORMAT_VERSION: &[u8; 3] = b"001";
+const FORMAT_VERSION: &[u8; 3] = b"002";
+/// The version whose headers have no seal byte. Its segments are read, but not written.
+const UNMARKED_VERSION: &[u8; 3] = b"001";
 /// Length of a segment's header in bytes.
 pub(crate) const HEADER_LENGTH: usize = 16;
+/// Offset of the seal byte in a segment's file.
+pub(crate) const SEAL_OFFSET: u64 = 12;
+/// The seal byte of a sealed segment.
+pub(crate) const SEALED: u8 = 1;
 const TRAILER_MAGIC: &[u8; 8] = b"SBSEGEND";
 /// Length of a segment's trailer in bytes.
 pub(crate) const TRAILER_LENGTH: usize = 16;
@@ -175,22 +190,61 @@
     Some((Record { kind: RecordKind::decode(kind)?, tag, key, metadata, payload: &[] }, offset, length))
 }
 
-/// Encodes a segment's header.
+/// What a segment's header tells about its seal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SealState {
+    /// The segment ends with a checkpoint and a trailer.
+    Sealed,
+    /// It ends with a record, or with part of a record or checkpoint.
+    Unsealed,
+    /// The header is of a version that does not tell.
+    Unmarked,
+}
+
+/// Returns whether a checkpoint's items are whole and list records that follow each other from the header to
+/// the checkpoint without a gap, as in each segment that the store has sealed.
+pub(crate) fn items_fill_segment(mut items: &[u8], checkpoint_offset: u64) -> bool {
+    let mut expected_offset = HEADER_LENGTH as u64;
+    while !items.is_empty() {
+        let Some((record, offset, length)) = decode_checkpoint_item(&mut items) else { return false };
+        let has_room_for_metadata = length as usize >= record.frame_length();
+        if record.kind == RecordKind::Checkpoint
+            || u64::from(offset) != expected_offset
+            || !has_room_for_metadata
+        {
+            return false;
+        }
+        expected_offset += u64::from(length);
+    }
+    expected_offset == checkpoint_offset
+}
+
+/// Encodes the header of a segment that is not sealed.
 pub(crate) fn encode_header(segment_id: u32) -> [u8; HEADER_LENGTH] {
     let mut bytes = [0; HEADER_LENGTH];
     bytes[..5].copy_from_slice(HEADER_MAGIC);
     bytes[5..8].copy_from_slice(FORMAT_VERSION);
-    bytes[8..].copy_from_slice(&u64::from(segment_id).to_le_bytes());
+    bytes[8..12].copy_from_slice(&segment_id.to_le_bytes());
     bytes
 }
 
-/// Checks the header of a segment's file; fails with `InvalidData`.
-pub(crate) fn check_header(bytes: &[u8; HEADER_LENGTH], segment_id: u32) -> io::Result<()> {
+/// Decodes the header of a segment's file; fails with `InvalidData`.
+pub(crate) fn decode_header(bytes: &[u8; HEADER_LENGTH], segment_id: u32) -> io::Result<SealState> {
+    let is_unmarked = bytes[5..8] == *UNMARKED_VERSION;
+    let has_id = if is_unmarked {
+        bytes[8..] == u64::from(segment_id).to_le_bytes()
+    } else {
+        bytes[8..12] == segment_id.to_le_bytes()
+    };
     let problem = match bytes {
         bytes if bytes[..5] != *HEADER_MAGIC => "is not a segment file",
-        bytes if bytes[5..8] != *FORMAT_VERSION => "has an unsupported segment format version",
-        bytes if bytes[8..] != u64::from(segment_id).to_le_bytes() => "has the header of another segment",
-        _ => return Ok(()),
+        bytes if !is_unmarked && bytes[5..8] != *FORMAT_VERSION => {
+            "has an unsupported segment format version"
+        }
+        _ if !has_id => "has the header of another segment",
+        _ if is_unmarked => return Ok(SealState::Unmarked),
+        bytes if bytes[SEAL_OFFSET as usize] == SEALED => return Ok(SealState::Sealed),
+        _ => return Ok(SealState::Unsealed),
     };
     Err(io::Error::new(io::ErrorKind::InvalidData, format!("{} {problem}", segment_name(segment_id))))
 }
@@ -217,5 +271,6 @@
 /// Returns the segment id in a file name; `None` if the file is not a segment.
 pub(crate) fn parse_segment_name(name: &str) -> Option<u32> {
     let digits = name.strip_prefix(SEGMENT_NAME_PREFIX)?;
-    (digits.len() == 10).then(|| digits.parse().ok())?
+    let is_id = digits.len() == 10 && digits.bytes().all(|byte| byte.is_ascii_digit());
+    is_id.then(|| digits.parse().ok())?
 }
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -50,6 +50,14 @@
         })
     }
 
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        self.with_file(name, |file| {
+            let rest = file.get_mut(offset as usize..).ok_or(ErrorKind::UnexpectedEof)?;
+            rest.get_mut(..bytes.len()).ok_or(ErrorKind::UnexpectedEof)?.copy_from_slice(bytes);
+            Ok(())
+        })
+    }
+
     fn read_at(&mut self, name: &str, offset: u64, buffer: &mut [u8]) -> io::Result<()> {
         self.with_file(name, |file| {
             let available = file.get(offset as usize..).ok_or(ErrorKind::UnexpectedEof)?;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -5,7 +5,10 @@
 mod open;
 
 use crate::files::Files;
-use crate::frame::{self, FRAME_OVERHEAD, HEADER_LENGTH, Record, RecordKind, RecordPosition, TRAILER_LENGTH};
+use crate::frame::{
+    self, FRAME_OVERHEAD, HEADER_LENGTH, Record, RecordKind, RecordPosition, SEAL_OFFSET, SEALED,
+    TRAILER_LENGTH,
+};
 use crate::planner::Planner;
 use compaction::Compaction;
 use std::collections::{BTreeMap, VecDeque};
@@ -366,25 +369,36 @@
         Ok(())
     }
 
-    /// Writes the active segment's checkpoint and seals the segment. If that fails, the only effect is that
-    /// the whole segment is read when the store is opened again.
+    /// Seals the active segment. If that fails, the only effect is that the whole segment is read when the
+    /// store is opened again.
     fn seal_active_segment(&mut self) {
         let Some(active) = self.active.take() else { return };
-        let key = u64::from(active.segment_id);
+        // Best effort, see above.
+        let _ = self.write_seal(&active);
+        self.planner.seal_active(active.sealed_length());
+    }
+
+    /// Writes the checkpoint and the trailer of a segment, and then the seal byte in its header.
+    fn write_seal(&mut self, active: &ActiveSegment) -> io::Result<()> {
+        if active.may_have_torn_tail {
+            self.files.truncate(&active.name, active.length)?;
+        }
         let checkpoint = Record {
             kind: RecordKind::Checkpoint,
             tag: 0,
-            key,
+            key: u64::from(active.segment_id),
             metadata: &[],
             payload: &active.checkpoint_items,
         };
         let mut bytes = Vec::with_capacity(checkpoint.frame_length() + TRAILER_LENGTH);
         checkpoint.encode(&mut bytes);
         bytes.extend_from_slice(&frame::encode_trailer(active.length as u32));
-        if self.files.append(&active.name, &bytes).is_err() {
-            // Best effort: an incomplete checkpoint after the records is ignored when the segment is read.
+        if let Err(error) = self.files.append(&active.name, &bytes) {
+            // Only frees the space: an incomplete checkpoint is not read, as the seal byte is not set.
             let _ = self.files.truncate(&active.name, active.length);
+            return Err(error);
         }
-        self.planner.seal_active(active.sealed_length());
+        // Nothing may be cut off once this write was tried: the byte may be set even if it fails.
+        self.files.write_at(&active.name, SEAL_OFFSET, &[SEALED])
     }
 }
--- a/crates/store/src/store/open.rs
+++ b/crates/store/src/store/open.rs
@@ -1,9 +1,8 @@
-//! Opening a store: reads the checkpoints of sealed segments, and all records of segments without a valid
-//! one.
+//! Opening a store: reads the checkpoints of sealed segments, and all records of the other ones.
 
 use super::{ActiveSegment, Store};
 use crate::files::Files;
-use crate::frame::{self, FRAME_OVERHEAD, HEADER_LENGTH, Record, RecordKind, RecordPosition, TRAILER_LENGTH};
+use crate::frame::{self, HEADER_LENGTH, Record, RecordKind, RecordPosition, SealState, TRAILER_LENGTH};
 use crate::planner::Planner;
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind};
@@ -82,15 +81,20 @@
             unreadable_count: 0,
             read_buffer: Vec::new(),
         };
-        // Check all versions first, so that a folder with an unsupported segment is left unchanged.
-        for segment_id in &segment_ids {
-            store.check_version(*segment_id)?;
+        // Read all headers first, so that a folder with an unsupported segment is left unchanged.
+        let mut segments = Vec::with_capacity(segment_ids.len());
+        for segment_id in segment_ids {
+            segments.push((segment_id, store.read_header(segment_id)?));
         }
         let mut summary = OpenSummary::default();
-        let last_segment_id = segment_ids.last().copied();
-        for segment_id in segment_ids {
+        let last_segment_id = segments.last().map(|segment| segment.0);
+        for (segment_id, seal_state) in segments {
+            let Some(seal_state) = seal_state else {
+                store.drop_incomplete_segment(segment_id, &mut summary)?;
+                continue;
+            };
             let is_last = Some(segment_id) == last_segment_id;
-            store.open_segment(segment_id, is_last, &mut replay, &mut summary)?;
+            store.open_segment(segment_id, seal_state, is_last, &mut replay, &mut summary)?;
         }
         store.ensure_active_segment()?;
         Ok((store, summary))
@@ -108,41 +112,43 @@
         result.or_else(|error| if forbidden.contains(&error.kind()) { Err(error) } else { Ok(()) })
     }
 
-    /// Checks the header of a segment, if it is complete.
-    fn check_version(&mut self, segment_id: u32) -> io::Result<()> {
+    /// Reads the header of a segment; `None` if it is incomplete.
+    fn read_header(&mut self, segment_id: u32) -> io::Result<Option<SealState>> {
         let name = frame::segment_name(segment_id);
         if self.files.length(&name)? < HEADER_LENGTH as u64 {
-            return Ok(());
+            return Ok(None);
         }
         let mut header = [0; HEADER_LENGTH];
         self.files.read_at(&name, 0, &mut header)?;
-        frame::check_header(&header, segment_id)
+        frame::decode_header(&header, segment_id).map(Some)
+    }
+
+    /// Removes a segment with an incomplete header: the process was killed while it created the file.
+    fn drop_incomplete_segment(&mut self, segment_id: u32, summary: &mut OpenSummary) -> io::Result<()> {
+        let name = frame::segment_name(segment_id);
+        summary.torn_bytes += self.files.length(&name)?;
+        // If the file cannot be removed, it is replaced later, as its id is the next one to be created.
+        let _ = self.files.remove(&name);
+        Ok(())
     }
 
-    /// Replays a segment. The last one becomes the active segment, unless it is sealed.
+    /// Replays a segment. The last one becomes the active segment, unless it is sealed or of an older
+    /// version.
     fn open_segment(
-        &mut self, segment_id: u32, is_last: bool, replay: &mut impl FnMut(ReplayedRecord),
-        summary: &mut OpenSummary,
+        &mut self, segment_id: u32, seal_state: SealState, is_last: bool,
+        replay: &mut impl FnMut(ReplayedRecord), summary: &mut OpenSummary,
     ) -> io::Result<()> {
         let name = frame::segment_name(segment_id);
         let length = self.files.length(&name)?;
-        if length < HEADER_LENGTH as u64 {
-            // The process was killed while it created this segment.
-            summary.torn_bytes += length;
-            // If the file cannot be removed, it is replaced later, as its id is the next one to be created.
-            let _ = self.files.remove(&name);
-            return Ok(());
-        }
         self.planner.add_sealed_segment(segment_id, length);
-        if let Some(items) = self.read_checkpoint(&name, length)? {
-            summary.read_bytes += items.len() as u64;
+        if let Some(items) = self.read_checkpoint(segment_id, seal_state, length, summary)? {
             self.replay_items(segment_id, &items, replay);
             return Ok(());
         }
         let (whole_length, items) = self.replay_frames(segment_id, length, replay)?;
         summary.read_bytes += length;
         summary.torn_bytes += length - whole_length;
-        if is_last {
+        if is_last && seal_state != SealState::Unmarked {
             // If the torn tail cannot be cut off now, that is done before the next append.
             let may_have_torn_tail =
                 whole_length < length && self.files.truncate(&name, whole_length).is_err();
@@ -160,38 +166,64 @@
         Ok(())
     }
 
-    /// Reads the items of a sealed segment's checkpoint; `None` if there is no valid checkpoint.
-    fn read_checkpoint(&mut self, name: &str, length: u64) -> io::Result<Option<Vec<u8>>> {
-        let Some(trailer_offset) = length
-            .checked_sub(TRAILER_LENGTH as u64)
-            .filter(|trailer_offset| *trailer_offset >= (HEADER_LENGTH + FRAME_OVERHEAD) as u64)
-        else {
+    /// Reads the items of a segment's checkpoint; `None` if the segment is not sealed or the checkpoint is
+    /// damaged.
+    fn read_checkpoint(
+        &mut self, segment_id: u32, seal_state: SealState, length: u64, summary: &mut OpenSummary,
+    ) -> io::Result<Option<Vec<u8>>> {
+        if seal_state == SealState::Unsealed {
             return Ok(None);
-        };
+        }
+        let name = frame::segment_name(segment_id);
+        let Some(trailer_offset) = length.checked_sub(TRAILER_LENGTH as u64) else { return Ok(None) };
         let mut trailer = [0; TRAILER_LENGTH];
-        self.files.read_at(name, trailer_offset, &mut trailer)?;
+        self.files.read_at(&name, trailer_offset, &mut trailer)?;
         let Some(checkpoint_offset) = frame::decode_trailer(&trailer)
             .filter(|offset| (HEADER_LENGTH as u64..trailer_offset).contains(offset))
         else {
             return Ok(None);
         };
-        let mut bytes = vec![0; (trailer_offset - checkpoint_offset) as usize];
-        self.files.read_at(name, checkpoint_offset, &mut bytes)?;
-        let Some(checkpoint) =
-            frame::decode_frame(&bytes).filter(|record| record.kind == RecordKind::Checkpoint)
-        else {
-            return Ok(None);
-        };
-        let mut items = checkpoint.payload;
-        while !items.is_empty() {
-            let is_in_bounds = |(_, record_offset, record_length): &(Record, u32, u32)| {
-                u64::from(*record_offset) + u64::from(*record_length) <= checkpoint_offset
-            };
-            if !frame::decode_checkpoint_item(&mut items).as_ref().is_some_and(is_in_bounds) {
+        if seal_state == SealState::Unmarked {
+            summary.read_bytes += length;
+            if self.find_checkpoint(&name, trailer_offset)? != Some(checkpoint_offset) {
                 return Ok(None);
             }
         }
-        Ok(Some(checkpoint.payload.to_vec()))
+        let mut bytes = vec![0; (trailer_offset - checkpoint_offset) as usize];
+        self.files.read_at(&name, checkpoint_offset, &mut bytes)?;
+        summary.read_bytes += bytes.len() as u64;
+        let checkpoint = frame::decode_frame(&bytes).filter(|record| {
+            record.kind == RecordKind::Checkpoint
+                && record.key == u64::from(segment_id)
+                && frame::items_fill_segment(record.payload, checkpoint_offset)
+        });
+        Ok(checkpoint.map(|checkpoint| checkpoint.payload.to_vec()))
+    }
+
+    /// Follows the lengths of a segment's frames and returns the offset of the checkpoint that they lead to;
+    /// `None` if they lead to none.
+    fn find_checkpoint(&mut self, name: &str, end_offset: u64) -> io::Result<Option<u64>> {
+        let mut offset = HEADER_LENGTH as u64;
+        let mut buffer = std::mem::take(&mut self.read_buffer);
+        let mut checkpoint_offset = None;
+        while offset < end_offset && checkpoint_offset.is_none() {
+            read_frames(&mut self.files, name, offset, end_offset, &mut buffer)?;
+            if buffer.is_empty() {
+                break;
+            }
+            let mut rest = buffer.as_slice();
+            while let Some(length) = frame::declared_frame_length(rest) {
+                let (frame, following) = rest.split_at(length);
+                if frame::peek_kind_and_key(frame).is_some_and(|(kind, _)| kind == RecordKind::Checkpoint) {
+                    checkpoint_offset = Some(offset);
+                    break;
+                }
+                offset += length as u64;
+                rest = following;
+            }
+        }
+        self.read_buffer = buffer;
+        Ok(checkpoint_offset)
     }
 
     /// Replays the records that a checkpoint lists.
--- a/crates/store/tests/files.rs
+++ b/crates/store/tests/files.rs
@@ -23,6 +23,7 @@
         files.length("a").map(drop),
         files.append("a", b"x"),
         files.read_at("a", 0, &mut [0]),
+        files.write_at("a", 0, b"x"),
         files.truncate("a", 0),
         files.rename("a", "b"),
         files.remove("a"),
@@ -45,6 +46,12 @@
     files.append("a", b"!").unwrap();
     assert_eq!(read(&mut files, "a", 0, 5).unwrap(), b"onet!");
     assert_eq!(files.length("a").unwrap(), 5);
+    // An overwrite changes bytes in place, and appends go on at the end.
+    files.write_at("a", 1, b"NE").unwrap();
+    files.append("a", b"4").unwrap();
+    assert_eq!(read(&mut files, "a", 0, 6).unwrap(), b"oNEt!4");
+    files.write_at("a", 1, b"ne").unwrap();
+    files.truncate("a", 5).unwrap();
     // A rename replaces the other file, even if either was read or appended to before.
     files.rename("a", "b").unwrap();
     assert_eq!((names(&files), files.length("b").unwrap()), (vec!["b".to_owned()], 5));
