An idempotency key that reads as none in a batch goes in a call of its own

A tokened webhook with the key "-" for a destination that takes batches reached it as one without a key: a repeat could not be recognised.

Cause: a line of a batch has "-" for "no key", and encode_batch wrote the client's key there. Change: such a webhook is carried by a single call, which every endpoint takes; other webhooks of the same moment share a batch as before.

Test: batches::an_idempotency_key_that_reads_as_none_in_a_batch_goes_in_a_call_of_its_own, which fails with the program before (POST /inbox/bulk).

--- a/crates/sender/src/bridge/calls.rs
+++ b/crates/sender/src/bridge/calls.rs
@@ -8,6 +8,11 @@
 use scalebarrow::Outcome;
 use tracing::{debug, error, info, warn};
 
+/// A webhook as a request carries it.
+fn outgoing(webhook: &Webhook) -> OutgoingWebhook<'_> {
+    OutgoingWebhook { id: &webhook.id, token: webhook.token.as_deref(), body: &webhook.body }
+}
+
 impl Bridge {
     /// A call ended, with one result for each of its webhooks.
     pub fn call_ended(&mut self, now: f64, call: &Call, results: &[AttemptResult], response: &ResponseHead) {
@@ -138,20 +143,24 @@
     fn group_requested_attempts(&mut self, now: f64) -> (Vec<Call>, Vec<Call>) {
         let (mut calls, mut not_made): (Vec<Call>, Vec<Call>) = (Vec::new(), Vec::new());
         for (number, endpoint, give_up_at) in std::mem::take(&mut self.requested.attempts) {
-            let Some(id) = self.journal.open_webhook(number).map(|webhook| webhook.id.clone()) else {
+            let Some(webhook) = self.journal.open_webhook(number) else {
                 let webhooks = vec![CalledWebhook::new(number, String::new())];
-                not_made.push(self.new_call(now, endpoint, webhooks, give_up_at));
+                not_made.push(self.new_call(now, endpoint, CallForm::Single, webhooks, give_up_at));
                 continue;
             };
-            let webhook = CalledWebhook::new(number, id);
             let max_batch = self.endpoints.get(&endpoint).map_or(1, |info| info.max_batch);
-            let shared_call = calls.iter_mut().rev().find(|call| call.endpoint == endpoint);
-            match shared_call.filter(|call| call.webhooks.len() < max_batch) {
+            let is_batched = max_batch > 1 && outgoing(&webhook).fits_batch();
+            let form = if is_batched { CallForm::Batch } else { CallForm::Single };
+            let called = CalledWebhook::new(number, webhook.id.clone());
+            let last_call =
+                calls.iter_mut().rev().find(|call| call.endpoint == endpoint && call.form == form);
+            let has_room = |call: &&mut Call| form == CallForm::Batch && call.webhooks.len() < max_batch;
+            match last_call.filter(has_room) {
                 Some(call) => {
-                    call.webhooks.push(webhook);
+                    call.webhooks.push(called);
                     call.give_up_at = call.give_up_at.min(give_up_at);
                 }
-                None => calls.push(self.new_call(now, endpoint, vec![webhook], give_up_at)),
+                None => calls.push(self.new_call(now, endpoint, form, vec![called], give_up_at)),
             }
         }
         (calls, not_made)
@@ -159,18 +168,16 @@
 
     /// A call with an id of its own that is not encoded yet.
     fn new_call(
-        &mut self, now: f64, endpoint: String, webhooks: Vec<CalledWebhook>, give_up_at: f64,
+        &mut self, now: f64, endpoint: String, form: CallForm, webhooks: Vec<CalledWebhook>, give_up_at: f64,
     ) -> Call {
         let id = self.next_call_id;
         self.next_call_id = id.next();
-        let info = self.endpoints.get(&endpoint);
-        let zone = info.map(|info| info.zone.clone()).unwrap_or_default();
-        let takes_batches = info.is_some_and(|info| info.max_batch > 1);
+        let zone = self.endpoints.get(&endpoint).map(|info| info.zone.clone()).unwrap_or_default();
         Call {
             id,
             endpoint,
             zone,
-            form: if takes_batches { CallForm::Batch } else { CallForm::Single },
+            form,
             webhooks,
             decided_at: now,
             give_up_at,
@@ -195,7 +202,7 @@
         let mut request = self.encode_request_for(&call, stop_in);
         if request.is_none() && call.webhooks.len() > 1 {
             let rest = call.webhooks.split_off(1);
-            not_made.push(self.new_call(now, call.endpoint.clone(), rest, call.give_up_at));
+            not_made.push(self.new_call(now, call.endpoint.clone(), call.form, rest, call.give_up_at));
             request = self.encode_request_for(&call, stop_in);
         }
         match request {
@@ -208,12 +215,7 @@
     fn encode_request_for(&mut self, call: &Call, timeout_secs: f64) -> Option<Vec<u8>> {
         let numbers = call.webhooks.iter().map(|webhook| webhook.number);
         let webhooks: Vec<_> = numbers.filter_map(|number| self.journal.open_webhook(number)).collect();
-        let outgoing = webhooks.iter().map(|webhook| OutgoingWebhook {
-            id: &webhook.id,
-            token: webhook.token.as_deref(),
-            body: &webhook.body,
-        });
-        let outgoing: Vec<OutgoingWebhook> = outgoing.collect();
+        let outgoing: Vec<OutgoingWebhook> = webhooks.iter().map(|webhook| outgoing(webhook)).collect();
         let host = self.endpoints.get(&call.endpoint).map(|info| info.address.to_string());
         endpoints::encode_request(&outgoing, call.form, &host.unwrap_or_default(), timeout_secs)
     }
--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -15,6 +15,9 @@
 /// A response's body holds at most one line for each webhook of a call.
 const MAX_RESPONSE_BODY_BYTES: usize = MAX_BODY_BYTES;
 
+/// What a batch has in place of an idempotency key for a webhook that has none.
+const NO_TOKEN: &str = "-";
+
 /// A webhook as a request carries it.
 pub struct OutgoingWebhook<'a> {
     /// The webhook's id.
@@ -25,6 +28,14 @@
     pub body: &'a [u8],
 }
 
+impl OutgoingWebhook<'_> {
+    /// Whether a batch can carry the webhook. In a batch, a token that reads as no token would be lost, and
+    /// with it the recipient's means to recognise a repeat.
+    pub fn fits_batch(&self) -> bool {
+        self.token != Some(NO_TOKEN)
+    }
+}
+
 /// How a call carries its webhooks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallForm {
@@ -65,7 +76,7 @@
     let common = common_headers(host, timeout_secs);
     let mut body = Vec::new();
     for webhook in webhooks {
-        let line = format!("{} {} {}\r\n", webhook.id, webhook.token.unwrap_or("-"), webhook.body.len());
+        let line = format!("{} {} {}\r\n", webhook.id, webhook.token.unwrap_or(NO_TOKEN), webhook.body.len());
         body.extend_from_slice(line.as_bytes());
         body.extend_from_slice(webhook.body);
         body.extend_from_slice(b"\r\n");
--- a/crates/sender/tests/program/main.rs
+++ b/crates/sender/tests/program/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod backlog;
+mod batches;
 mod clocks;
 mod crossings;
 mod descriptors;
