A body that fits no batch goes in a call of its own, instead of never

Cause: at a destination that takes batches a call of one is a batch, whose body holds a line beside the webhook's body; the call could not be encoded and counted as not made.

Change: whether a batch can carry a webhook reckons with that line; else the call is a single one. Above 64 KiB the request is answered 413, as before.

--- a/crates/sender/src/endpoints.rs
+++ b/crates/sender/src/endpoints.rs
@@ -17,6 +17,8 @@
 
 /// What a batch has in place of an idempotency key for a webhook that has none.
 const NO_TOKEN: &str = "-";
+/// What ends a body in a batch.
+const LINE_END: &[u8] = b"\r\n";
 
 /// A webhook as a request carries it.
 pub struct OutgoingWebhook<'a> {
@@ -29,10 +31,20 @@
 }
 
 impl OutgoingWebhook<'_> {
-    /// Whether a batch can carry the webhook. In a batch, a token that reads as no token would be lost, and
-    /// with it the recipient's means to recognise a repeat.
+    /// Whether a batch can carry the webhook, if only alone. In a batch, a token that reads as no token would
+    /// be lost, and with it the recipient's means to recognise a repeat.
     pub fn fits_batch(&self) -> bool {
-        self.token != Some(NO_TOKEN)
+        self.token != Some(NO_TOKEN) && self.size_in_batch() <= MAX_BODY_BYTES
+    }
+
+    /// The line before the webhook's body in a batch.
+    fn batch_line(&self) -> String {
+        format!("{} {} {}\r\n", self.id, self.token.unwrap_or(NO_TOKEN), self.body.len())
+    }
+
+    /// The bytes that the webhook takes up in a batch.
+    fn size_in_batch(&self) -> usize {
+        self.batch_line().len() + self.body.len() + LINE_END.len()
     }
 }
 
@@ -76,10 +88,9 @@
     let common = common_headers(host, timeout_secs);
     let mut body = Vec::new();
     for webhook in webhooks {
-        let line = format!("{} {} {}\r\n", webhook.id, webhook.token.unwrap_or(NO_TOKEN), webhook.body.len());
-        body.extend_from_slice(line.as_bytes());
+        body.extend_from_slice(webhook.batch_line().as_bytes());
         body.extend_from_slice(webhook.body);
-        body.extend_from_slice(b"\r\n");
+        body.extend_from_slice(LINE_END);
     }
     let head = format!("POST /inbox/bulk {common}Content-Length: {}\r\n\r\n", body.len());
     (body.len() <= MAX_BODY_BYTES).then(|| [head.as_bytes(), &body].concat())
--- a/crates/sender/tests/program/batches.rs
+++ b/crates/sender/tests/program/batches.rs
@@ -6,6 +6,9 @@
 };
 use std::time::Duration;
 
+/// The protocol's limit for a body.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
 /// Answers a call to `/inbox` as delivered, and fails any batch.
 fn answer_singles(_: usize, call: &HttpMessage) -> Action {
     let is_single = call.head.starts_with("POST /inbox ");
@@ -36,3 +39,24 @@
     program.wait_for_log("outcome=Delivered", 1);
     assert!(endpoint.calls.recv_timeout(Duration::from_millis(300)).is_err());
 }
+
+/// Guards against webhooks that are accepted and never called: a body of the largest size, or just below it,
+/// leaves no room for the line that precedes it in a batch.
+#[test]
+fn a_body_that_fits_no_batch_goes_in_a_call_of_its_own() {
+    let (endpoint, _platform, program) = start();
+    let line_bytes = "b key-b 65536\r\n".len() + "\r\n".len();
+    let max_batch_body_bytes = MAX_BODY_BYTES - line_bytes;
+    for (id, body_bytes, path) in [
+        ("a", MAX_BODY_BYTES, "POST /inbox "),
+        ("b", max_batch_body_bytes + 1, "POST /inbox "),
+        ("c", max_batch_body_bytes, "POST /inbox/bulk "),
+    ] {
+        let body: Vec<u8> = (0..body_bytes).map(|i| i as u8).collect();
+        assert_eq!(program.submit_webhook("once", id, 8000, &body), 202);
+        let call = endpoint.next_call();
+        assert!(call.head.starts_with(path), "{}", call.head);
+        assert!(call.body.ends_with(&body) || call.body.ends_with(&[&body[..], b"\r\n"].concat()));
+    }
+    assert_eq!(program.submit_webhook("once", "x", 8000, &vec![0; MAX_BODY_BYTES + 1]), 413);
+}
