A list request gets the 2 s that the platform may take: lists come while it is slow

The last list that the sender took was that of its start.

Cause: where lists are asked for, a watch was given up 0.9 s after its wait, the retry after 1.0 s and a whole list after 0.9 s; only a retry behind a refusal got 2 s. From an answer of 0.95 s on each request was given up before its answer came, without end.

Change: every request behind a failure, and each for a whole list, waits 2.1 s; the retry's own wait is 1 ms, so that the longest pause (1.3 s) and the sum of 5.5 s of 6 s stay. The watch is given up 0.9 s after its wait as before.

--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -14,21 +14,23 @@
 /// the platform allows.
 const PUSH_WATCH_MS: u64 = 2_000;
 const PULL_WATCH_MS: u64 = 20_000;
-/// The same for a request after a failure: missed changes are sent at once, so a response without
-/// changes may come at once, too.
-const RETRY_WATCH_MS: u64 = 100;
+/// The same for a request after a failure: missed changes are sent at once, so a response without changes may
+/// come at once, too.
+const PUSH_RETRY_WATCH_MS: u64 = 100;
+const PULL_RETRY_WATCH_MS: u64 = 1;
 /// Limit for the body of a response; a list of ten thousand endpoints takes about 2 MB.
 const MAX_LIST_BYTES: usize = 4 * 1024 * 1024;
-/// How long a response may be overdue; normally it is sent as soon as it is due. With this timeout and the
-/// pause before a retry, an agent that did not respond in an outage is asked again within half a second, the
-/// time in which calls to a draining endpoint have to stop. A platform from which lists are pulled may have a
-/// queue.
+/// How long a response may be overdue where lists are pushed; normally it is sent as soon as it is due. With
+/// this timeout and the pause before a retry, an agent that did not respond in an outage is asked again within
+/// half a second, the time in which calls to a draining endpoint have to stop.
 const PUSH_RESPONSE_TIMEOUT_SECS: f64 = 0.4;
-const PULL_RESPONSE_TIMEOUT_SECS: f64 = 0.9;
-/// The same for a pull request after a failure. The platform's queue takes at most 2 s, or the request is
-/// refused: a request that is given up earlier is wasted, and many of them after an outage keep the queue
-/// full.
-const PULL_RETRY_TIMEOUT_SECS: f64 = 2.0;
+/// The same for a watch where lists are pulled. It is shorter than the platform's queue may take: the changes
+/// that a lost watch missed count as received 2 s after its wait, and have to be requested again before.
+const PULL_WATCH_TIMEOUT_SECS: f64 = 0.9;
+/// The same for any other request there. The platform's queue takes at most 2 s, or the request is refused. A
+/// request that is given up earlier gets no list as long as the queue is that long, and each one makes it
+/// longer.
+const PULL_RESPONSE_TIMEOUT_SECS: f64 = 2.1;
 /// Time reserved for network latency and for opening connections.
 const LATENCY_MARGIN_SECS: f64 = 0.5;
 
@@ -37,7 +39,7 @@
 /// full timeout.
 pub const MAX_PULL_PAUSE_SECS: f64 = CHANGE_DEADLINE_SECS
     - LATENCY_MARGIN_SECS
-    - 2.0 * (RETRY_WATCH_MS as f64 / 1e3 + PULL_RETRY_TIMEOUT_SECS);
+    - 2.0 * (PULL_RETRY_WATCH_MS as f64 / 1e3 + PULL_RESPONSE_TIMEOUT_SECS);
 
 /// Whether an endpoint accepts calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -113,8 +115,6 @@
     /// Requests that failed since the last success. After the first failure a lost watch is resumed on a new
     /// connection.
     consecutive_failures: u32,
-    /// The last failure was a watch that lost its connection or timed out.
-    watch_was_lost: bool,
     /// Lists are pulled from the platform; otherwise they are pushed to a local agent, which is asked here.
     pulls_list: bool,
 }
@@ -129,7 +129,6 @@
             awaits_first_response: true,
             known_version: Some(known_version),
             consecutive_failures: 0,
-            watch_was_lost: false,
             pulls_list,
         }
     }
@@ -147,20 +146,13 @@
 
     /// The request to send now, and the timeout for its response in seconds.
     pub fn next_request(&self, server: &SocketAddr) -> (Vec<u8>, f64) {
-        let (watch_ms, response_timeout_secs) = if self.pulls_list {
-            (PULL_WATCH_MS, PULL_RESPONSE_TIMEOUT_SECS)
-        } else {
-            (PUSH_WATCH_MS, PUSH_RESPONSE_TIMEOUT_SECS)
+        let is_watch = self.known_version.is_some() && self.consecutive_failures == 0;
+        let (watch_ms, response_timeout_secs) = match (self.pulls_list, is_watch) {
+            (true, true) => (PULL_WATCH_MS, PULL_WATCH_TIMEOUT_SECS),
+            (true, false) => (PULL_RETRY_WATCH_MS, PULL_RESPONSE_TIMEOUT_SECS),
+            (false, true) => (PUSH_WATCH_MS, PUSH_RESPONSE_TIMEOUT_SECS),
+            (false, false) => (PUSH_RETRY_WATCH_MS, PUSH_RESPONSE_TIMEOUT_SECS),
         };
-        // After a lost watch there is no time to wait for a queue: its changes count as received 2 s after
-        // its wait ended.
-        let is_pull_retry = self.consecutive_failures > 0
-            && self.pulls_list
-            && self.known_version.is_some()
-            && !self.watch_was_lost;
-        let watch_ms = if self.consecutive_failures > 0 { RETRY_WATCH_MS } else { watch_ms };
-        let response_timeout_secs =
-            if is_pull_retry { PULL_RETRY_TIMEOUT_SECS } else { response_timeout_secs };
         let (query, response_timeout_secs) = match self.known_version {
             None => (String::new(), response_timeout_secs),
             Some(known_version) => (
@@ -208,13 +200,12 @@
     /// request is for the changes since, and is sent only when it is due. An immediate request for the
     /// complete list would overload the platform.
     pub fn request_refused(&mut self) {
-        (self.consecutive_failures, self.watch_was_lost) = (self.consecutive_failures + 1, false);
+        self.consecutive_failures += 1;
     }
 
     /// The connection is closed. True if the watch is to be resumed on a new one at once.
     pub fn connection_lost(&mut self) -> bool {
         let resumes_watch = self.known_version.is_some() && self.consecutive_failures == 0;
-        self.watch_was_lost = resumes_watch;
         self.consecutive_failures += 1;
         if !resumes_watch {
             // It is unknown which changes the platform counts as received, so the complete list is requested.
--- a/crates/sender/tests/program/crossings/list.rs
+++ b/crates/sender/tests/program/crossings/list.rs
@@ -123,6 +123,36 @@
     }
 }
 
+/// Guards against an endpoint that is called long after it left the list: once a request for the list had
+/// failed, each further one was given up before the answer of a platform that takes its time came.
+#[test]
+fn a_list_that_takes_a_while_to_come_is_applied_after_a_failed_request() {
+    let [old, new] = [0, 1].map(|_| Endpoint::start(|_, _| Action::Respond(OK_RESPONSE)));
+    let initial_list = endpoint_list(1, true, &[endpoint_entry("a", old.address, "plain", "SERVING")]);
+    let changed_list = endpoint_list(2, true, &[endpoint_entry("b", new.address, "plain", "SERVING")]);
+    let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{changed_list}", changed_list.len());
+    // The first watch, and the request that resumes it, are lost. Each answer takes 1.5 s, of the 2 s that the
+    // platform has for it.
+    let discovery = Endpoint::start(move |call_number, _| {
+        if call_number < 2 {
+            return Action::Close;
+        }
+        sleep(millis(1500));
+        Action::RespondOwned(response.clone())
+    });
+    let platform = Platform::start(initial_list.clone(), 0);
+    let (from, to) = (platform.address.to_string(), discovery.address.to_string());
+    let pull_mode = ("\"membership-mode\":\"push\"", "\"membership-mode\":\"ask\"");
+    let program = Program::start(&platform, &initial_list, &[(&from, &to), pull_mode]);
+    let first_request_at = discovery.next_call().received_at;
+    program.wait_for_log("code=\"listed\" seq=2", 1);
+    let elapsed = first_request_at.elapsed();
+    assert!(elapsed < millis(5500), "{elapsed:?}");
+    assert_eq!(program.submit_webhook("idem", "x", 8000, b""), 202);
+    assert_eq!(new.next_call().id(), "x");
+    assert!(old.calls.try_recv().is_err());
+}
+
 #[test]
 fn connections_to_a_moved_or_removed_endpoint_close_at_once() {
     for change in ["moved", "deleted", "missing from a complete list"] {
