A second process on a folder ends with exit code 2 and leaves the folder untouched

The review's remark: nothing locked the folder, so a process started beside a running one cut off what it took for a torn tail, replaced the clock file and, with another address, served as well.

Change: the directory is locked before it is read, until the process ends; the kernel gives the lock back at SIGKILL. The lock's descriptor is one of the twenty that were kept already.

Test: folder::a_second_process_on_a_folder_ends_and_leaves_it_untouched (at first, after SIGHUP, after SIGKILL); with the program before the second process serves.

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -15,6 +15,7 @@
 use crate::clock::{BootReading, Clock};
 use crate::config::Config;
 use crate::endpoints::{Call, ConnectionPool};
+use crate::folder_lock::{FolderLock, LockError};
 use crate::journal::Journal;
 use crate::list::ListClient;
 use budgets::{max_buffered_bytes, max_connections};
@@ -25,6 +26,7 @@
 use signals::signal_pipe;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -98,11 +100,47 @@
     read_buffer: Vec<u8>,
 }
 
+/// Why a sender cannot start or go on.
+#[derive(Debug)]
+pub enum ServeError {
+    /// Another process uses the folder; its id, if it is known.
+    FolderInUse(PathBuf, Option<u32>),
+    /// A file, a socket or another resource of the system failed.
+    Io(io::Error),
+}
+
+impl fmt::Display for ServeError {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            ServeError::FolderInUse(folder, Some(holder)) => {
+                write!(formatter, "{}: process {holder} uses this folder", folder.display())
+            }
+            ServeError::FolderInUse(folder, None) => {
+                write!(formatter, "{}: another process uses this folder", folder.display())
+            }
+            ServeError::Io(error) => error.fmt(formatter),
+        }
+    }
+}
+
+impl std::error::Error for ServeError {}
+
+impl From<io::Error> for ServeError {
+    fn from(error: io::Error) -> Self {
+        ServeError::Io(error)
+    }
+}
+
 /// Runs a sender until SIGTERM or SIGINT. `state_dir` holds the journal.
-pub fn serve(config: Config, config_path: &Path, state_dir: &Path) -> io::Result<()> {
+pub fn serve(config: Config, config_path: &Path, state_dir: &Path) -> Result<(), ServeError> {
     let mut reload_signals = signal_pipe(&[signal_hook::consts::SIGHUP])?;
     let max_journal_bytes = config.limits.disk_bytes();
     let with_context = |name: String| move |e: io::Error| io::Error::new(e.kind(), format!("{name}: {e}"));
+    // Held until the process ends.
+    let _folder_lock = FolderLock::acquire(state_dir).map_err(|error| match error {
+        LockError::Held(holder) => ServeError::FolderInUse(state_dir.to_owned(), holder),
+        LockError::Io(error) => with_context(state_dir.display().to_string())(error).into(),
+    })?;
     let (journal, dropped) = Journal::open(state_dir, max_journal_bytes, &BootReading::now())
         .map_err(with_context(state_dir.display().to_string()))?;
     let clock = Clock::with_timeline(journal.timeline());
@@ -165,5 +203,5 @@
         accepts_webhooks: true,
         read_buffer: vec![0; READ_BUFFER_BYTES],
     };
-    driver.run()
+    Ok(driver.run()?)
 }
--- a/crates/sender/src/driver/budgets.rs
+++ b/crates/sender/src/driver/budgets.rs
@@ -6,10 +6,11 @@
 use crate::config::Limits;
 
 /// Descriptors used for neither clients nor endpoints: standard streams, poll and listener, pipes of three
-/// signals, the journal's file and the one that replaces it, the configuration file, list and notices.
-const RESERVED_DESCRIPTORS: usize = 3 + 2 + 5 + 2 + 1 + 2 + LIBRARY_DESCRIPTORS;
+/// signals, the journal's file and the one that replaces it, the lock on their folder, the configuration file,
+/// list and notices.
+const RESERVED_DESCRIPTORS: usize = 3 + 2 + 5 + 2 + 1 + 1 + 2 + LIBRARY_DESCRIPTORS;
 /// Descriptors that the system or a library loaded into the process may hold.
-const LIBRARY_DESCRIPTORS: usize = 5;
+const LIBRARY_DESCRIPTORS: usize = 4;
 /// Share of the memory limit for incomplete requests of clients, and as much again for incomplete responses.
 const BUFFER_MEMORY_SHARE: f64 = 0.2;
 /// An incomplete message of up to this size is always allowed: on all descriptors together such messages take
--- a/crates/sender/src/main.rs
+++ b/crates/sender/src/main.rs
@@ -2,7 +2,7 @@
 
 use bpaf::Bpaf;
 use scalebarrow_sender::config::Config;
-use scalebarrow_sender::driver;
+use scalebarrow_sender::driver::{self, ServeError};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_subscriber::filter::LevelFilter;
@@ -63,9 +63,10 @@
         Command::Serve { config: config_path, state, log } => match start_log(log, &config_path) {
             Ok(config) => match driver::serve(config, &config_path, &state) {
                 Ok(()) => Ok(()),
-                Err(e) => {
-                    eprintln!("scalebarrow: {e}");
-                    return ExitCode::FAILURE;
+                Err(error) => {
+                    eprintln!("scalebarrow: {error}");
+                    let is_in_use = matches!(error, ServeError::FolderInUse(..));
+                    return if is_in_use { ExitCode::from(2) } else { ExitCode::FAILURE };
                 }
             },
             Err(error) => Err(error),
--- a/crates/sender/tests/program/folder.rs
+++ b/crates/sender/tests/program/folder.rs
@@ -106,3 +106,35 @@
     let called: BTreeSet<String> = ids.iter().map(|_| endpoint.next_call().id()).collect();
     assert_eq!(called, ids.map(String::from).into());
 }
+
+/// Guards against two processes that write to one folder: the second one must end and leave the folder as it
+/// is, also after a reload, while the first one goes on; a kill must not keep the next process out.
+#[test]
+fn a_second_process_on_a_folder_ends_and_leaves_it_untouched() {
+    let endpoint = Endpoint::start(|_, _| Action::Respond(OK_RESPONSE));
+    let initial_list = endpoint_list(1, true, &[endpoint_entry("a", endpoint.address, "plain", "SERVING")]);
+    let platform = Platform::start(initial_list.clone(), 0);
+    let mut program = Program::start(&platform, &initial_list, &[]);
+    let segment = program.folder.join("state/segment-0000000001");
+    for (index, round) in ["at first", "after SIGHUP", "after SIGKILL"].into_iter().enumerate() {
+        match round {
+            "after SIGHUP" => {
+                program.send_signal("HUP");
+                program.wait_for_log("code=\"config-read\"", 1);
+            }
+            "after SIGKILL" => program.kill_and_restart(),
+            _ => {}
+        }
+        assert_eq!(program.submit_webhook("idem", &format!("x{index}"), 8000, b""), 202);
+        endpoint.next_call();
+        program.wait_for_log("an attempt ended", index + 1);
+        let before = std::fs::read(&segment).unwrap();
+        let output = program.run_second_process();
+        let message = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{round}: {message}");
+        let (folder, process_id) = (program.folder.join("state"), program.process_id());
+        let expected = format!("scalebarrow: {}: process {process_id} uses this folder\n", folder.display());
+        assert_eq!(message, expected, "{round}");
+        assert!(std::fs::read(&segment).unwrap() == before, "{round}: the folder changed");
+    }
+}
--- a/crates/sender/tests/program/helpers.rs
+++ b/crates/sender/tests/program/helpers.rs
@@ -355,6 +355,30 @@
         child
     }
 
+    /// Runs a second process on the same folder, with another address for clients, until it exits.
+    pub fn run_second_process(&self) -> Output {
+        let config = std::fs::read_to_string(self.folder.join("config.json")).unwrap();
+        let config = config.replace(&self.listen_address.to_string(), &unique_address().to_string());
+        std::fs::write(self.folder.join("second.json"), config).unwrap();
+        let mut command = command(&self.folder, "serve");
+        let mut child = command
+            .env("LB_CONFIG", self.folder.join("second.json"))
+            .stderr(std::process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        let started_at = Instant::now();
+        while child.try_wait().unwrap().is_none() && started_at.elapsed() < TEST_TIMEOUT {
+            thread::sleep(Duration::from_millis(20));
+        }
+        let _ = child.kill();
+        child.wait_with_output().unwrap()
+    }
+
+    /// The id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal, by its name without `SIG`.
     pub fn send_signal(&self, name: &str) {
         let pid = self.child.id().to_string();
