A damaged webhook ends with a notice, or is counted with segment and offset

Cause: the id was taken for lost with the record. Change: such a webhook is given up at once, as failed where an attempt may have run, else as returned; its id is read from the damaged bytes and counts if its hash is that of the checkpoint. Else it is counted and logged with segment and offset. Compaction keeps the first bytes of a damaged value until its webhook has ended.

Tests: folder::a_webhook_whose_record_is_damaged_ends_with_a_notice_if_its_id_can_be_read, where the first notice of the program before comes at the end of the time and names other webhooks; the store's test of damaged records asks for what is left. The test of bodies like seals answers two watches, as the mock may still hold one of the killed process.

--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -241,6 +241,11 @@
         if let Err(e) = self.journal.run_compaction_step() {
             warn!(code = "journal-write", %e, "the journal could not be compacted");
         }
+        for number in self.journal.take_damaged() {
+            self.finish_damaged_webhook(now, number);
+            self.sender.withdraw(now, number, &mut self.requested);
+            self.apply_final_answers(now);
+        }
         if self.withheld.retry_due(now) {
             self.report_withheld_answers(now);
         }
@@ -276,8 +281,7 @@
             Ok(Some(webhook)) => webhook,
             Ok(None) => return,
             Err(error) if error.kind() == ErrorKind::InvalidData => {
-                error!(code = "journal-read", number, %error, "a damaged webhook is given up");
-                return self.finish_webhook(now, number, FinalAnswer::Over);
+                return self.finish_damaged_webhook(now, number);
             }
             Err(error) => {
                 error!(
@@ -384,6 +388,31 @@
         }
     }
 
+    /// Gives up a webhook if its record is damaged.
+    fn finish_damaged_webhook(&mut self, now: f64, number: u64) {
+        let Err(error) = self.journal.read_webhook(number) else { return };
+        if error.kind() != ErrorKind::InvalidData {
+            return;
+        }
+        self.counters.count(WebhookEvent::Damaged);
+        let history = self.journal.attempt_history(number);
+        let may_have_run = history.may_have_run.is_some() || history.in_flight.is_some();
+        let id = self.journal.webhook_id(number);
+        if id.is_some() {
+            error!(code = "journal-damaged", id, number, may_have_run, %error, "a damaged webhook is given up");
+        } else {
+            error!(
+                code = "journal-damaged",
+                number,
+                may_have_run,
+                %error,
+                "a damaged webhook is given up, and the platform cannot be notified, as its id is damaged as well"
+            );
+        }
+        let answer = if may_have_run { FinalAnswer::DeadLettered } else { FinalAnswer::Rejected(0.0) };
+        self.finish_webhook(now, number, answer);
+    }
+
     /// Records a webhook's final answer and queues the notice, unless the platform needs none.
     fn finish_webhook(&mut self, now: f64, number: u64, answer: FinalAnswer) {
         if !self.journal.is_open(number) {
--- a/crates/sender/src/bridge/calls.rs
+++ b/crates/sender/src/bridge/calls.rs
@@ -144,6 +144,7 @@
         let (mut calls, mut not_made): (Vec<Call>, Vec<Call>) = (Vec::new(), Vec::new());
         for (number, endpoint, give_up_at) in std::mem::take(&mut self.requested.attempts) {
             let Some(webhook) = self.journal.open_webhook(number) else {
+                self.finish_damaged_webhook(now, number);
                 let webhooks = vec![CalledWebhook::new(number, String::new())];
                 not_made.push(self.new_call(now, endpoint, CallForm::Single, webhooks, give_up_at));
                 continue;
--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -46,6 +46,8 @@
     Returned,
     /// The webhook was given up, and may have run.
     DeadLettered,
+    /// The webhook's record is damaged, and it was given up.
+    Damaged,
     /// The client disconnected, and the webhook was withdrawn.
     Withdrawn,
     /// The final answer is not reported until it is recorded.
@@ -60,7 +62,7 @@
 
 impl WebhookEvent {
     /// All events with their names in the log, in the order of the variants.
-    pub const ALL: [(WebhookEvent, &'static str); 23] = [
+    pub const ALL: [(WebhookEvent, &'static str); 24] = [
         (WebhookEvent::Accepted, "taken"),
         (WebhookEvent::Duplicate, "known"),
         (WebhookEvent::Rejected, "rejected"),
@@ -79,6 +81,7 @@
         (WebhookEvent::Moot, "moot"),
         (WebhookEvent::Returned, "returned"),
         (WebhookEvent::DeadLettered, "dead-lettered"),
+        (WebhookEvent::Damaged, "damaged"),
         (WebhookEvent::Withdrawn, "withdrawn"),
         (WebhookEvent::Withheld, "withheld"),
         (WebhookEvent::ConnectionOpened, "connections-opened"),
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -386,7 +386,7 @@
         if !self.is_open(number) {
             return Ok(());
         }
-        let id = self.open_webhook(number).map(|webhook| webhook.id.clone());
+        let id = self.webhook_id(number);
         self.remove_from_index(number, id.as_deref());
         match (answer, id) {
             (FinalAnswer::Over, id) => self.write_tombstone(number, id.unwrap_or_default().as_bytes()),
@@ -413,7 +413,7 @@
         if !self.is_open(number) {
             return Ok(());
         }
-        let id = self.open_webhook(number).map(|webhook| webhook.id.clone());
+        let id = self.webhook_id(number);
         self.remove_from_index(number, id.as_deref());
         self.write_tombstone(number, &[])
     }
@@ -473,6 +473,28 @@
         Ok(Some(webhook))
     }
 
+    /// The id of an open webhook, also of one whose record is damaged, if the id itself is not.
+    pub fn webhook_id(&mut self, number: u64) -> Option<String> {
+        match self.read_webhook(number) {
+            Ok(webhook) => webhook.map(|webhook| webhook.id.clone()),
+            Err(_) => self.read_damaged_id(number),
+        }
+    }
+
+    /// The id in a damaged record: it comes first, and its hash is known from the record's metadata.
+    fn read_damaged_id(&mut self, number: u64) -> Option<String> {
+        let payload = self.store.read_damaged_value(number).ok()??;
+        let (id, _) = postcard::take_from_bytes::<String>(&payload).ok()?;
+        self.open_ids.contains(&(records::hash_id(&id), number)).then_some(id)
+    }
+
+    /// Takes the open webhooks whose records compaction has found damaged.
+    pub fn take_damaged(&mut self) -> Vec<u64> {
+        let mut numbers = self.store.take_damaged_keys();
+        numbers.retain(|number| self.is_open(*number));
+        numbers
+    }
+
     /// What is known of the attempts for an open webhook.
     pub fn attempt_history(&self, number: u64) -> AttemptHistory {
         self.attempts.get(number)
--- a/crates/sender/tests/program/folder.rs
+++ b/crates/sender/tests/program/folder.rs
@@ -102,7 +102,10 @@
     assert_eq!(program.submit_webhook("idem", ids[3], 8000, &body), 202);
     assert_eq!(segment_length(), length_before + 2 * record_length);
     program.kill_and_restart();
-    platform.answer_watch(endpoint_list(2, false, &[entry("SERVING")]));
+    // The platform may still hold a watch of the process that was killed.
+    for _ in 0..2 {
+        platform.answer_watch(endpoint_list(2, false, &[entry("SERVING")]));
+    }
     let called: BTreeSet<String> = ids.iter().map(|_| endpoint.next_call().id()).collect();
     assert_eq!(called, ids.map(String::from).into());
 }
@@ -138,3 +141,46 @@
         assert!(std::fs::read(&segment).unwrap() == before, "{round}: the folder changed");
     }
 }
+
+/// Changes one byte of a file, at an offset from the first place where it has these bytes.
+fn damage(path: &std::path::Path, bytes: &[u8], offset: usize) {
+    let mut content = std::fs::read(path).unwrap();
+    let position = content.windows(bytes.len()).position(|window| window == bytes).unwrap();
+    content[position + offset] ^= 1;
+    std::fs::write(path, content).unwrap();
+}
+
+/// Guards against webhooks that get no final answer because their records are damaged: the platform is
+/// notified, unless the id is damaged as well.
+#[test]
+fn a_webhook_whose_record_is_damaged_ends_with_a_notice_if_its_id_can_be_read() {
+    let endpoint = Endpoint::start(|_, _| Action::Respond(OK_RESPONSE));
+    let entry = |health| endpoint_entry("a", endpoint.address, "plain", health);
+    let initial_list = endpoint_list(1, true, &[entry("DRAINING")]);
+    let platform = Platform::start(initial_list.clone(), 0);
+    // So little that the first segment is sealed after a few webhooks.
+    let changes = [("\"disk_mb\":3", "\"disk_mb\":0.3")];
+    let mut program = Program::start(&platform, &initial_list, &changes);
+    for number in 0..8 {
+        let body = [b"start".as_slice(), &[b'0' + number; 5000]].concat();
+        assert_eq!(program.submit_webhook("once", &format!("webhook-{number}"), 8000, &body), 202);
+    }
+    program.kill();
+    let segment = program.folder.join("state/segment-0000000001");
+    damage(&segment, b"start1111", 100);
+    damage(&segment, b"webhook-2", 3);
+    program.start_again();
+    let notice = platform.next_notice();
+    assert_eq!(notice, "{\"id\":\"webhook-1\",\"state\":\"returned\"}\n");
+    program.wait_for_log("code=\"journal-damaged\"", 2);
+    let log = program.log();
+    let unidentified = log.lines().find(|line| line.contains("its id is damaged as well")).unwrap();
+    assert!(unidentified.contains("segment-0000000001: the record at offset"), "{unidentified}");
+    // The platform may still hold a watch of the process that was killed.
+    for _ in 0..2 {
+        platform.answer_watch(endpoint_list(2, false, &[entry("SERVING")]));
+    }
+    let called: BTreeSet<String> = (0..6).map(|_| endpoint.next_call().id()).collect();
+    let expected = [0, 3, 4, 5, 6, 7].map(|number| format!("webhook-{number}"));
+    assert_eq!(called, expected.into());
+}
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -20,6 +20,8 @@
 const DEFERRED_SEGMENT_ID: u32 = u32::MAX;
 /// Stands for a segment id in the position of a record that is unreadable because it is damaged.
 const UNREADABLE_SEGMENT_ID: u32 = u32::MAX - 1;
+/// Bytes that are kept of the payload of a damaged value.
+const DAMAGED_PAYLOAD_BYTES: usize = 512;
 
 /// What happens to a record that cannot be written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,6 +70,15 @@
     }
 }
 
+/// What is kept of a value that compaction found damaged.
+#[derive(Debug)]
+struct DamagedValue {
+    /// Where it was.
+    position: RecordPosition,
+    /// The first bytes of its payload.
+    payload_start: Vec<u8>,
+}
+
 /// The segment that records are appended to.
 #[derive(Debug)]
 struct ActiveSegment {
@@ -88,6 +99,14 @@
     }
 }
 
+fn damaged_record_error(position: RecordPosition) -> io::Error {
+    let name = frame::segment_name(position.segment_id);
+    io::Error::new(
+        ErrorKind::InvalidData,
+        format!("{name}: the record at offset {} is damaged", position.offset),
+    )
+}
+
 /// A key-value store in the segments of one folder; each key has a value and, optionally, a small state.
 #[derive(Debug)]
 pub struct Store<F> {
@@ -108,6 +127,10 @@
     compaction_stalled: bool,
     /// Number of live records that compaction found damaged.
     unreadable_count: u64,
+    /// What is left of the values among them, by key.
+    damaged_values: BTreeMap<u64, DamagedValue>,
+    /// The keys of those that were not reported yet.
+    unreported_damaged_keys: Vec<u64>,
     /// Reused for reading chunks of segments.
     read_buffer: Vec<u8>,
 }
@@ -204,23 +227,44 @@
                 |deferred: &&DeferredRecord| deferred.key == key && deferred.kind == RecordKind::Value;
             return Ok(self.deferred.iter().rev().find(is_value).map(|deferred| deferred.payload.clone()));
         }
+        // The segment of a value that compaction found damaged is gone.
+        let position = self.damaged_values.get(&key).map_or(position, |damaged| damaged.position);
+        if entry.position.segment_id == UNREADABLE_SEGMENT_ID {
+            return Err(damaged_record_error(position));
+        }
         self.read_payload(position).map(Some)
     }
 
+    /// Reads the first bytes of the payload of a key's value as they are on disk, even if the record is damaged;
+    /// `None` if it has no value.
+    pub fn read_damaged_value(&mut self, key: u64) -> io::Result<Option<Vec<u8>>> {
+        if let Some(damaged) = self.damaged_values.get(&key) {
+            return Ok(Some(damaged.payload_start.clone()));
+        }
+        let Some(entry) = self.values.get(&key) else { return Ok(None) };
+        let payload_offset = FRAME_OVERHEAD + usize::from(entry.metadata_length);
+        let Some(payload_length) = (entry.position.length as usize).checked_sub(payload_offset) else {
+            return Ok(None);
+        };
+        let mut bytes = vec![0; payload_length.min(DAMAGED_PAYLOAD_BYTES)];
+        let name = frame::segment_name(entry.position.segment_id);
+        self.files.read_at(&name, u64::from(entry.position.offset) + payload_offset as u64, &mut bytes)?;
+        Ok(Some(bytes))
+    }
+
+    /// Takes the keys of the values that compaction found damaged since the last call.
+    pub fn take_damaged_keys(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.unreported_damaged_keys)
+    }
+
     /// Reads the payload of a replayed record. Its position is valid until compaction first runs after the
     /// store was opened.
     pub fn read_payload(&mut self, position: RecordPosition) -> io::Result<Vec<u8>> {
         let name = frame::segment_name(position.segment_id);
-        let damaged = || {
-            let message = format!("{name}: the record at offset {} is damaged", position.offset);
-            io::Error::new(ErrorKind::InvalidData, message)
-        };
-        if position.segment_id == UNREADABLE_SEGMENT_ID {
-            return Err(damaged());
-        }
         let mut bytes = vec![0; position.length as usize];
         self.files.read_at(&name, u64::from(position.offset), &mut bytes)?;
-        let payload_length = frame::decode_frame(&bytes).ok_or_else(damaged)?.payload.len();
+        let payload_length =
+            frame::decode_frame(&bytes).ok_or_else(|| damaged_record_error(position))?.payload.len();
         bytes.drain(..bytes.len() - payload_length);
         Ok(bytes)
     }
@@ -233,6 +277,7 @@
                 if self.states.get(&record.key).is_some_and(|state| state.tag != record.tag) {
                     self.remove_entry(RecordKind::State, record.key);
                 }
+                self.damaged_values.remove(&record.key);
                 self.set_entry(RecordKind::Value, record.key, entry);
             }
             // During replay, a state may come before its value, if compaction has copied the value since.
@@ -272,6 +317,9 @@
         if let Some(old) = self.entries(kind).remove(&key) {
             self.planner.remove_live_record(old.position.segment_id, old.size_on_disk());
         }
+        if kind == RecordKind::Value {
+            self.damaged_values.remove(&key);
+        }
     }
 
     /// Sets the new position of a record that was copied or written.
--- a/crates/store/src/store/compaction.rs
+++ b/crates/store/src/store/compaction.rs
@@ -2,9 +2,9 @@
 //! removes the oldest segment.
 
 use super::open::read_frames;
-use super::{IndexEntry, Store, UNREADABLE_SEGMENT_ID};
+use super::{DAMAGED_PAYLOAD_BYTES, DamagedValue, IndexEntry, Store, UNREADABLE_SEGMENT_ID};
 use crate::files::Files;
-use crate::frame::{self, HEADER_LENGTH, RecordKind, RecordPosition};
+use crate::frame::{self, FRAME_OVERHEAD, HEADER_LENGTH, RecordKind, RecordPosition};
 use crate::planner::MIN_STEP_RECORDS;
 use std::io::{self, ErrorKind};
 
@@ -150,6 +150,9 @@
             Some(record) if record.kind == kind && record.key == key => self.write_frame(&record, frame)?,
             _ => {
                 self.unreadable_count += 1;
+                if kind == RecordKind::Value {
+                    self.keep_damaged_value(key, frame);
+                }
                 RecordPosition { segment_id: UNREADABLE_SEGMENT_ID, offset: 0, length: frame.len() as u32 }
             }
         };
@@ -157,6 +160,15 @@
         Ok(())
     }
 
+    /// Keeps what can be kept of a damaged value before its segment is removed.
+    fn keep_damaged_value(&mut self, key: u64, frame: &[u8]) {
+        let Some(entry) = self.values.get(&key) else { return };
+        let payload = frame.get(FRAME_OVERHEAD + usize::from(entry.metadata_length)..).unwrap_or_default();
+        let payload_start = payload[..payload.len().min(DAMAGED_PAYLOAD_BYTES)].to_vec();
+        self.damaged_values.insert(key, DamagedValue { position: entry.position, payload_start });
+        self.unreported_damaged_keys.push(key);
+    }
+
     /// Copies the remaining live records by their indexed positions. Used when a damaged frame makes it
     /// impossible to follow the frames to the end of the segment.
     fn copy_remaining_by_position(&mut self, segment_id: u32) -> io::Result<()> {
--- a/crates/store/src/store/open.rs
+++ b/crates/store/src/store/open.rs
@@ -79,6 +79,8 @@
             appended_since_step: 0,
             compaction_stalled: false,
             unreadable_count: 0,
+            damaged_values: BTreeMap::new(),
+            unreported_damaged_keys: Vec::new(),
             read_buffer: Vec::new(),
         };
         // Read all headers first, so that a folder with an unsupported segment is left unchanged.
--- a/crates/store/tests/store/cases.rs
+++ b/crates/store/tests/store/cases.rs
@@ -39,8 +39,15 @@
         keys.into_iter().filter(|key| store.read_value(*key).is_err()).collect()
     };
     assert_eq!(unreadable_keys(&mut store), [4, 7]);
-    let error = store.read_value(4).unwrap_err();
-    assert_eq!(error.to_string(), "segment-0000000001: the record at offset 1576 is damaged");
+    let check_errors = |store: &mut Store<MemoryFiles>| {
+        let error = store.read_value(4).unwrap_err();
+        assert_eq!(error.to_string(), "segment-0000000001: the record at offset 1576 is damaged");
+        // What is before the damage can still be read.
+        assert_eq!(store.read_damaged_value(4).unwrap().unwrap()[..100 - 20], test_payload(4, 80));
+        assert_eq!(store.read_damaged_value(7).unwrap().unwrap(), test_payload(7, 500));
+    };
+    check_errors(&mut store);
+    assert!(store.take_damaged_keys().is_empty());
     // Compaction must copy the other records of the segment.
     for key in 30..=100 {
         remove(&mut store, key);
@@ -52,6 +59,8 @@
     }
     assert!(disk.length(name).is_err());
     assert_eq!((unreadable_keys(&mut store), store.unreadable_count(), store.len()), (vec![4, 7], 2, 29));
+    check_errors(&mut store);
+    assert_eq!((store.take_damaged_keys(), store.take_damaged_keys()), (vec![4, 7], vec![]));
 }
 
 #[test]
