An endpoint that the list gives another destination, zone or kind is another endpoint

Cause: update_list read destination, zone and kind of an endpoint at its first entry only.

Change: such an entry replaces the route, so that window, samples, circuit and outage of the old one are dropped; waits and limits stay with their destination. Calls that are not written yet are not sent; those in flight end for the old route, and the new one begins after the last of them.

Tests: an_endpoint_with_another_destination_zone_or_kind_is_a_new_one (nine cases, seven fail before) and crossings::list::an_endpoint_that_is_given_another_destination_gets_the_webhooks_of_that_one (real process, fails before).

--- a/crates/sender/tests/program/crossings/list.rs
+++ b/crates/sender/tests/program/crossings/list.rs
@@ -2,8 +2,8 @@
 
 use super::{millis, with_manual_endpoint};
 use crate::helpers::{
-    Action, DeliveryChecker, Endpoint, OK_RESPONSE, Platform, Program, endpoint_entry, endpoint_list,
-    unique_address,
+    Action, DeliveryChecker, Endpoint, OK_RESPONSE, Platform, Program, endpoint_entry, endpoint_entry_for,
+    endpoint_list, send_request, unique_address, webhook_request_for,
 };
 use std::io::Read;
 use std::thread::sleep;
@@ -153,6 +153,32 @@
     assert!(old.calls.try_recv().is_err());
 }
 
+/// Guards against webhooks that are delivered to another destination: the list gave an endpoint another one,
+/// and it went on getting the webhooks of the first.
+#[test]
+fn an_endpoint_that_is_given_another_destination_gets_the_webhooks_of_that_one() {
+    let endpoint = Endpoint::start(|_, _| Action::Respond(OK_RESPONSE));
+    let entry = |destination| endpoint_entry_for(destination, "a", endpoint.address, "plain", "SERVING");
+    let initial_list = endpoint_list(1, true, &[entry(1)]);
+    let platform = Platform::start(initial_list.clone(), 0);
+    let program = Program::start(&platform, &initial_list, &[]);
+    let submit = |destination, id: &str| {
+        let request = webhook_request_for(destination, "idem", id, 1500, b"");
+        assert_eq!(send_request(program.listen_address, &request).unwrap().status(), 202);
+    };
+    submit(1, "before");
+    assert_eq!(endpoint.next_call().id(), "before");
+    program.wait_for_log("outcome=Delivered", 1);
+    platform.answer_watch(endpoint_list(2, false, &[entry(2)]));
+    program.wait_for_log("code=\"listed\" seq=2", 1);
+    submit(1, "of-the-first-one");
+    submit(2, "of-the-second-one");
+    assert_eq!(endpoint.next_call().id(), "of-the-second-one");
+    let notice = platform.next_notice();
+    assert!(notice.contains("of-the-first-one") && notice.contains("returned"), "{notice}");
+    assert!(endpoint.calls.try_recv().is_err());
+}
+
 #[test]
 fn connections_to_a_moved_or_removed_endpoint_close_at_once() {
     for change in ["moved", "deleted", "missing from a complete list"] {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -89,6 +89,8 @@
     pub destination_kinds: BTreeMap<Name, (usize, bool)>,
     pub list_watch: ListWatch,
     routes: BTreeMap<Name, Route>,
+    /// Endpoints whose route is replaced once its calls have ended.
+    moved_endpoints: BTreeMap<Name, MovedEndpoint>,
     /// Routes with calls in flight.
     active_routes: BTreeSet<Name>,
     /// Calls in flight by destination.
@@ -160,6 +162,7 @@
         // bug there.
         let mut last = "";
         for _ in 0..100_000 {
+            self.apply_moved_endpoints();
             self.refresh_indexes();
             let found = RULES.iter().find_map(|rule| (rule.condition)(self).map(|target| (rule, target)));
             let Some((rule, target)) = found else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 //! per second.
 
 use crate::index::Timers;
-use crate::{RepeatSafety, ScopeMemory};
+use crate::{ListedEndpoint, RepeatSafety, ScopeMemory};
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -137,6 +137,41 @@
     pub recovered_at: Option<f64>,
 }
 
+/// What the list says of an endpoint that it has given another destination, zone or kind, while calls that
+/// began before are in flight.
+pub(crate) struct MovedEndpoint {
+    pub zone: String,
+    pub destination_kind: String,
+    pub destination: u64,
+    pub ready: bool,
+    pub rate_limit: f64,
+    pub started_at: f64,
+}
+
+impl MovedEndpoint {
+    /// Copies an entry of the list.
+    pub fn new(entry: &ListedEndpoint) -> Self {
+        let ListedEndpoint { zone, destination_kind, destination, ready, rate_limit, started_at, .. } =
+            *entry;
+        let (zone, destination_kind) = (zone.to_owned(), destination_kind.to_owned());
+        MovedEndpoint { zone, destination_kind, destination, ready, rate_limit, started_at }
+    }
+
+    /// The entry of the list that it was copied from.
+    pub fn entry<'a>(&'a self, endpoint: &'a str) -> ListedEndpoint<'a> {
+        let MovedEndpoint { zone, destination_kind, .. } = self;
+        ListedEndpoint {
+            endpoint,
+            zone,
+            destination_kind,
+            destination: self.destination,
+            ready: self.ready,
+            rate_limit: self.rate_limit,
+            started_at: self.started_at,
+        }
+    }
+}
+
 /// What shares a rate limit, waits and outages: a destination, or one endpoint of it where endpoints are
 /// independent.
 pub(crate) type LimitScope = (u64, Option<Name>);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -766,3 +766,65 @@
         ),
     ]);
 }
+
+/// Guards against webhooks that reach another destination: an endpoint to which the list gives another
+/// destination, zone or kind must not be called as what it was, nor keep what is known of what it was.
+#[test]
+fn an_endpoint_with_another_destination_zone_or_kind_is_a_new_one() {
+    check(&[
+        (
+            "an endpoint that leaves its destination gets no more of its webhooks",
+            ONE_SENDER,
+            "0 list a:z:plain:50\n1 changes a@2:z:plain:50\n1.1 accept 1 idem\n9.2 tick",
+            &[Lack("send"), Contain(&["9.1 reject 1 0.5"])],
+        ),
+        (
+            "an endpoint that joins a destination gets its webhooks",
+            ONE_SENDER,
+            "0 list a@2:z:plain:50 b:z:plain:50:unready\n0.1 accept 1 idem\n1 changes a:z:plain:50",
+            &[Exactly(&["1.0 send 1 a"])],
+        ),
+        (
+            "the same with a whole list",
+            ONE_SENDER,
+            "0 list a@2:z:plain:50 b:z:plain:50:unready\n0.1 accept 1 idem\n1 list a:z:plain:50",
+            &[Exactly(&["1.0 send 1 a"])],
+        ),
+        (
+            "an attempt that was requested before the change may not be sent after it",
+            ONE_SENDER,
+            "0 list a:z:plain:50\n0.1 accept 1 idem\n0.1 may-send 1 a\n0.2 changes a@2:z:plain:50\n0.2 may-send 1 a",
+            &[Exactly(&["0.1 send 1 a", "0.1 may-send 1 true", "0.2 may-send 1 false"])],
+        ),
+        (
+            "a call in flight ends as at an endpoint that is gone, and the next one begins after it",
+            ONE_SENDER,
+            "0 list a:z:plain:50\n0.1 accept 1 idem\n0.2 changes a:y:plain:50\n0.3 accept 2 idem\n0.4 end 1 a delivered",
+            &[Exactly(&["0.1 send 1 a", "0.4 send 2 a"])],
+        ),
+        (
+            "a tokened webhook that may have run in the old zone is not sent to the new one",
+            ONE_SENDER,
+            "0 list a:z:plain:50\n0.1 accept 1 token\n0.2 changes a:y:plain:50\n1 end 1 a timed-out\n9 tick",
+            &[Lack("send 1 a 2"), Sends(0.0, 9.0, 1..=1), Contain(&["3.9 dead-letter 1"])],
+        ),
+        (
+            "an endpoint that comes back to its destination during the call is not moved",
+            ONE_SENDER,
+            "0 list a:z:plain:50\n0.1 accept 1 idem\n0.2 changes a@2:z:plain:50\n0.3 changes a:z:plain:50\n0.4 accept 2 idem",
+            &[Exactly(&["0.1 send 1 a", "0.4 send 2 a"])],
+        ),
+        (
+            "an outage, a closed window and a probe's pause are not carried over",
+            ONE_SENDER,
+            "0 list a:z:plain:50\n0.1 accept 1 once\n0.1 accept 2 once\n0.1 accept 3 once\n0.2 end 1 a failed\n0.3 end 2 a failed\n0.4 end 3 a failed\n0.5 changes a@2:z:plain:50\n0.6 changes a:z:plain:50\n0.7 accept 4 idem\n0.7 accept 5 idem",
+            &[Contain(&["0.7 send 4 a", "0.7 send 5 a"])],
+        ),
+        (
+            "a kind with batches takes several webhooks in a call after the change",
+            ONE_SENDER,
+            "0 list a:z:plain:50\n1 changes a:z:bulk:50\n1.1 accept 1 idem\n1.1 accept 2 idem",
+            &[Exactly(&["1.1 send 1 a", "1.1 send 2 a"])],
+        ),
+    ]);
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -68,8 +68,9 @@
 }
 
 /// Runs a script and returns the actions, each with its time. A step is a line and starts with its time;
-/// wake-ups that are due come first. All webhooks and endpoints belong to destination 1. The steps are:
-/// - `list ENDPOINT:ZONE:KIND:RATE[:unready or :STARTED_AT] ..`, `changes ..` (the same), `refused`
+/// wake-ups that are due come first. All webhooks belong to destination 1, and so do endpoints without another
+/// one. The steps are:
+/// - `list ENDPOINT[@DESTINATION]:ZONE:KIND:RATE[:unready or :STARTED_AT] ..`, `changes ..` (the same), `refused`
 /// - `accept ID EVENT_TYPE [KEY]`
 /// - `end ID ENDPOINT OUTCOME [WAIT [REMAINING:LIMIT]]`
 /// - `withdraw ID`
@@ -100,11 +101,12 @@
                     words[2..].iter().map(|word| word.split(':').collect::<Vec<_>>()).collect::<Vec<_>>();
                 let entries: Vec<ListedEndpoint> = rows
                     .iter()
-                    .map(|row| ListedEndpoint {
-                        endpoint: row[0],
+                    .map(|row| (row, row[0].split_once('@').unwrap_or((row[0], "1"))))
+                    .map(|(row, (endpoint, destination))| ListedEndpoint {
+                        endpoint,
                         zone: row[1],
                         destination_kind: row[2],
-                        destination: 1,
+                        destination: destination.parse().unwrap(),
                         ready: row.get(4).is_none_or(|word| *word != "unready"),
                         rate_limit: row[3].parse().unwrap(),
                         started_at: row.get(4).and_then(|word| word.parse().ok()).unwrap_or(0.0),
