--- a/crates/sender/tests/program/crossings/list.rs
+++ b/crates/sender/tests/program/crossings/list.rs
@@ -153,6 +153,33 @@
     assert!(old.calls.try_recv().is_err());
 }
 
+/// Guards against calls to an endpoint that only the configuration's list has: that list is used until the first
+/// answer of the platform, and what this answer leaves out is not called again.
+#[test]
+fn an_endpoint_that_the_first_answer_leaves_out_is_called_only_before_it() {
+    for mode in ["push", "ask"] {
+        println!("{mode}");
+        let [old, new] = [0, 1].map(|_| Endpoint::start(|_, _| Action::Respond(OK_RESPONSE)));
+        let initial_list = endpoint_list(1, true, &[endpoint_entry("old", old.address, "plain", "SERVING")]);
+        let first_answer = endpoint_list(2, true, &[endpoint_entry("new", new.address, "plain", "SERVING")]);
+        let platform = Platform::start(first_answer.clone(), 0);
+        let mode = format!("\"membership-mode\":\"{mode}\"");
+        let program =
+            Program::start(&platform, &initial_list, &[("\"membership-mode\":\"push\"", mode.as_str())]);
+        let started_at = Instant::now();
+        assert_eq!(program.submit_webhook("idem", "meanwhile", 8000, b""), 202);
+        assert_eq!(old.next_call().id(), "meanwhile");
+        platform.answer_watch(first_answer);
+        program.wait_for_log("code=\"listed\" seq=2", 1);
+        assert!(started_at.elapsed() < millis(6000), "{:?}", started_at.elapsed());
+        for number in 0..10 {
+            assert_eq!(program.submit_webhook("idem", &format!("x{number}"), 8000, b""), 202);
+            assert_eq!(new.next_call().id(), format!("x{number}"));
+        }
+        assert!(old.calls.try_recv().is_err());
+    }
+}
+
 /// Guards against webhooks that are delivered to another destination: the list gave an endpoint another one,
 /// and it went on getting the webhooks of the first.
 #[test]
