--- a/crates/store/tests/store/model.rs
+++ b/crates/store/tests/store/model.rs
@@ -83,13 +83,21 @@
     pub model: Content,
     /// The model after the current operation; expected if the operation had taken effect before a kill.
     pub model_after_operation: Content,
+    /// All payloads that were ever put, by key.
+    pub all_values: BTreeMap<u64, Vec<Vec<u8>>>,
     next_key: u64,
 }
 
 impl<F: Files + Clone> Run<F> {
     pub fn new(files: F) -> io::Result<Self> {
         let store = Some(open(files)?.0);
-        Ok(Run { store, model: Content::new(), model_after_operation: Content::new(), next_key: 1 })
+        Ok(Run {
+            store,
+            model: Content::new(),
+            model_after_operation: Content::new(),
+            all_values: BTreeMap::new(),
+            next_key: 1,
+        })
     }
 
     /// Selects one of the keys whose value has this tag.
@@ -120,6 +128,7 @@
                     return Ok(());
                 }
                 self.next_key += 1;
+                self.all_values.entry(key).or_default().push(payload.clone());
                 model_after.insert(key, (FIRST_TAG, payload.as_slice().into(), Vec::new()));
                 self.model_after_operation = model_after.clone();
                 let metadata = key.to_le_bytes();
@@ -153,6 +162,7 @@
                 let Some(key) = self.select(*selector, FIRST_TAG) else { return Ok(()) };
                 let Some(store) = self.store.as_mut() else { return Ok(()) };
                 let payload = format!("end of {key}").into_bytes();
+                self.all_values.entry(key).or_default().push(payload.clone());
                 model_after.insert(key, (SECOND_TAG, payload.as_slice().into(), Vec::new()));
                 self.model_after_operation = model_after.clone();
                 let record = Record {
--- a/crates/store/tests/store/properties.rs
+++ b/crates/store/tests/store/properties.rs
@@ -1,6 +1,6 @@
 //! Random operations against the model, interrupted by a fault at any of their file operations.
 
-use crate::forgery::Forgery;
+use crate::forgery::{Forgery, HEADER_LENGTH};
 use crate::model::{
     Content, FIRST_TAG, LIMIT_BYTES, MAX_STATE_BYTES, Operation, Run, SECOND_TAG, content, open,
 };
@@ -183,22 +183,64 @@
     #[test]
     fn segments_of_arbitrary_bytes_are_read_or_refused_without_a_panic(
         files in proptest::collection::vec(
-            (1u32..5, proptest::collection::vec(any::<u8>(), 0..200), any::<bool>()),
+            (1u32..5, proptest::collection::vec(any::<u8>(), 0..200), 0u8..4),
             0..4,
         )
     ) {
         let mut disk = MemoryFiles::default();
-        for (segment_id, bytes, has_header) in files {
+        for (segment_id, bytes, header) in files {
             let name = format!("segment-{segment_id:010}");
             disk.create(&name).unwrap();
-            if has_header {
-                disk.append(&name, b"SBSEG001").unwrap();
-                disk.append(&name, &u64::from(segment_id).to_le_bytes()).unwrap();
-            }
+            let id = segment_id.to_le_bytes();
+            // None, one of version 001, and one of version 002, not sealed and sealed.
+            let header = match header {
+                0 => Vec::new(),
+                1 => [&b"SBSEG001"[..], &id, &[0; 4]].concat(),
+                seal => [&b"SBSEG002"[..], &id, &[seal - 2, 0, 0, 0]].concat(),
+            };
+            disk.append(&name, &header).unwrap();
             disk.append(&name, &bytes).unwrap();
         }
         if let Ok((mut store, states)) = open(disk) {
             content(&mut store, &states);
         }
     }
+
+    /// Guards against a value that a damaged folder yields under a key that it was not put under.
+    #[test]
+    fn damaged_segments_yield_no_value_that_was_not_put(
+        operations in operations(),
+        damages in proptest::collection::vec((0usize..100, 0usize..100_000, 1u8..=255), 1..6),
+        cut in proptest::option::of(0usize..100_000),
+    ) {
+        let disk = MemoryFiles::default();
+        let mut run = Run::new(disk.clone()).unwrap();
+        for operation in &operations {
+            run.apply(operation, &disk).unwrap();
+        }
+        let mut names = disk.list().unwrap();
+        names.sort();
+        for (selector, position, mask) in damages {
+            let name = &names[selector % names.len()];
+            let mut bytes = vec![0; disk.length(name).unwrap() as usize];
+            disk.clone().read_at(name, 0, &mut bytes).unwrap();
+            // The header tells the version, which decides whether the folder is opened at all.
+            let position = HEADER_LENGTH + position % (bytes.len() - HEADER_LENGTH).max(1);
+            if let Some(byte) = bytes.get_mut(position) {
+                *byte ^= mask;
+            }
+            bytes.truncate(cut.map_or(bytes.len(), |cut| HEADER_LENGTH.max(cut)));
+            disk.clone().create(name).unwrap();
+            disk.clone().append(name, &bytes).unwrap();
+        }
+        let (mut store, _) = open(disk).unwrap();
+        let keys: Vec<u64> = store.keys_with_tags().map(|(key, _)| key).collect();
+        for key in keys {
+            if let Ok(Some(payload)) = store.read_value(key) {
+                let was_put = run.all_values.get(&key).is_some_and(|values| values.contains(&payload));
+                prop_assert!(was_put, "key {key}: {} bytes", payload.len());
+            }
+            let _ = store.read_damaged_value(key);
+        }
+    }
 }
