--- a/crates/sender/tests/decoders.rs
+++ b/crates/sender/tests/decoders.rs
@@ -267,6 +267,9 @@
         piece_sizes in proptest::collection::vec(1usize..50, 1..5),
         cut in 0usize..2000,
     ) {
+        // An incomplete line of a head is parsed when its end comes, so only then an error in it is certain to
+        // be seen.
+        let bytes = [&bytes[..], b"\r\n\r\n"].concat();
         let whole = decode(reads_responses, &bytes, &[usize::MAX]);
         prop_assert_eq!(&decode(reads_responses, &bytes, &piece_sizes), &whole);
         let cut = &bytes[..cut % (bytes.len() + 1)];
