--- a/crates/sender/src/bridge.rs
+++ b/crates/sender/src/bridge.rs
@@ -2,18 +2,18 @@
 //! becomes journal records and actions for the event loop (the driver). The bridge itself decides nothing.
 
 mod calls;
+mod endpoint_list;
 
 use crate::backlog::{Backlog, PendingWebhook};
 use crate::clients::{IncomingWebhook, Reply};
-use crate::clock;
 use crate::config::Config;
 use crate::counters::{Counters, WebhookEvent};
 use crate::endpoints::CallId;
 use crate::journal::{AttemptHistory, FinalAnswer, Journal, Webhook, hash_ordering_key};
-use crate::list::{EndpointListUpdate, Health};
+use crate::list::EndpointListUpdate;
 use crate::notices::Notices;
 use crate::withheld::{RETRY_DELAY_SECS, WithheldAnswers};
-use scalebarrow::{ActionSink, ListUpdate, ListedEndpoint, ScopeMemory, Sender};
+use scalebarrow::{ActionSink, ScopeMemory, Sender};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -584,91 +584,6 @@
         self.apply_final_answers(now);
     }
 
-    /// Applies a list of endpoints, or changes to it. `remembered` is set for the list of the configuration,
-    /// which may be out of date.
-    pub fn update_list(&mut self, now: f64, update: &EndpointListUpdate, remembered: bool) {
-        let mut listed_endpoints = Vec::new();
-        if update.is_complete {
-            // Endpoints that left the list are not called again; calls in flight already have their
-            // connection.
-            let listed: BTreeSet<&str> = update.endpoints.iter().map(|entry| entry.name.as_str()).collect();
-            let removed = self.endpoints.extract_if(.., |name, _| !listed.contains(name.as_str()));
-            self.requested.actions.extend(removed.map(|(name, _)| Action::CloseIdleConnections(name)));
-        }
-        for entry in &update.endpoints {
-            let Some(destination) = entry.destination else { continue };
-            let ready = entry.health == Health::Serving;
-            let (endpoint, zone, destination_kind) =
-                (entry.name.as_str(), entry.zone.as_str(), entry.destination_kind.as_str());
-            let rate_limit = entry.rate_limit.filter(|_| self.config.list_has_rates()).unwrap_or(0.0);
-            let started_unix_ms = entry.started_unix_ms.unwrap_or(0.0);
-            let started_at = self.started_at(now, endpoint, started_unix_ms);
-            debug!(
-                code = "endpoint",
-                ep = endpoint,
-                dest = destination,
-                kind = destination_kind,
-                zone,
-                rate = rate_limit,
-                born = started_at,
-                health = ?entry.health,
-                "an endpoint is listed"
-            );
-            listed_endpoints.push(ListedEndpoint {
-                endpoint,
-                zone,
-                destination_kind,
-                destination,
-                ready,
-                rate_limit,
-                started_at,
-            });
-            if entry.health == Health::Deleted {
-                self.endpoints.remove(&entry.name);
-                self.requested.actions.push(Action::CloseIdleConnections(entry.name.clone()));
-                continue;
-            }
-            let (address, zone, max_batch) =
-                (entry.address, entry.zone.clone(), self.config.max_batch(&entry.destination_kind));
-            let info = EndpointInfo { address, zone, max_batch, started_unix_ms };
-            let previous = self.endpoints.insert(entry.name.clone(), info);
-            if previous.is_some_and(|info| info.address != address) {
-                self.requested.actions.push(Action::CloseIdleConnections(entry.name.clone()));
-            }
-        }
-        let mode = match (remembered, update.is_complete) {
-            (true, _) => ListUpdate::Remembered,
-            (false, true) => ListUpdate::Whole,
-            (false, false) => ListUpdate::Changes,
-        };
-        debug!(code = "listed", seq = update.version, ?mode, "the endpoint list is updated");
-        self.sender.update_list(now, mode, &listed_endpoints, &mut self.requested);
-        self.list_updated_at = now;
-        self.apply_final_answers(now);
-    }
-
-    /// When an endpoint last started, on this process's clock; 0 for long ago. The list gives it on a wall
-    /// clock, and only two things are used of it: whether it differs from the time given before, which means
-    /// that the endpoint started since the last update, and its age by the local wall clock. That clock may
-    /// be wrong; at worst the endpoint's load ramps up too slowly or too quickly.
-    fn started_at(&self, now: f64, endpoint: &str, started_unix_ms: f64) -> f64 {
-        if started_unix_ms <= 0.0 {
-            return 0.0;
-        }
-        let started_at = now - clock::wall_clock_age(started_unix_ms / 1e3);
-        match self.endpoints.get(endpoint) {
-            Some(info) if info.started_unix_ms == started_unix_ms => started_at,
-            Some(_) => started_at.max(self.list_updated_at),
-            None => started_at,
-        }
-    }
-
-    /// The list could not be fetched.
-    pub fn list_unavailable(&mut self, now: f64) {
-        self.sender.update_list(now, ListUpdate::Refused, &[], &mut self.requested);
-        self.apply_final_answers(now);
-    }
-
     /// The wake timer that [`Action::WakeAfter`] requested has expired.
     pub fn wake(&mut self, now: f64) {
         self.sender.wake(now, 0, &mut self.requested);
