Store: a checkpoint that does not fit its segment is not used, and a segment of another name is refused

Taking each guard out alone showed that no test noticed the checks of a checkpoint's segment and items, and of the id in a header. Two tests of single cases do now.

--- a/crates/store/tests/store/cases.rs
+++ b/crates/store/tests/store/cases.rs
@@ -1,5 +1,6 @@
 //! Single cases: damaged and torn records, segments of other versions, the cost of steps and of opening.
 
+use crate::forgery;
 use crate::model::{FIRST_TAG, LIMIT_BYTES, content, open, test_payload};
 use scalebarrow_store::{Fault, FaultyFiles, Files, MemoryFiles, OnError, Record, RecordKind, Store};
 use std::io::ErrorKind;
@@ -167,3 +168,48 @@
         assert_eq!(Store::open(torn, LIMIT_BYTES, |_| ()).unwrap().0.len(), 2);
     }
 }
+
+/// Guards against records that a damaged or foreign checkpoint hides: one that names another segment, or whose
+/// items leave a gap, is not used, although its checksum holds and the header says that the segment is sealed.
+#[test]
+fn a_checkpoint_that_does_not_fit_its_segment_is_not_used() {
+    let frame = |key: u64| forgery::frame(RecordKind::Value, FIRST_TAG, key, &[], &test_payload(key, 100));
+    let frames: Vec<Vec<u8>> = (1..=3).map(frame).collect();
+    let length = frames[0].len();
+    let offset = |key: usize| forgery::HEADER_LENGTH + (key - 1) * length;
+    let item = |key: usize| forgery::item(RecordKind::Value, FIRST_TAG, key as u64, offset(key), length, &[]);
+    let items = |keys: &[usize]| -> Vec<u8> { keys.iter().flat_map(|key| item(*key)).collect() };
+    for (name, segment_id, items) in [
+        ("of another segment", 2, items(&[1, 2, 3])),
+        ("empty", 1, Vec::new()),
+        ("a gap at the start", 1, items(&[2, 3])),
+        ("a gap in the middle", 1, items(&[1, 3])),
+        ("a gap at the end", 1, items(&[1, 2])),
+        ("another order", 1, items(&[2, 1, 3])),
+        ("the right one", 1, items(&[1, 2, 3])),
+    ] {
+        let mut disk = MemoryFiles::default();
+        let header = [&b"SBSEG002"[..], &1_u32.to_le_bytes(), &[1, 0, 0, 0]].concat();
+        let seal = forgery::seal(segment_id, offset(4), &items);
+        disk.create("segment-0000000001").unwrap();
+        disk.append("segment-0000000001", &[header, frames.concat(), seal].concat()).unwrap();
+        let (mut store, _) = open(disk).unwrap();
+        let found: Vec<Vec<u8>> = (1..=3).filter_map(|key| store.read_value(key).unwrap()).collect();
+        assert_eq!(found, [1, 2, 3].map(|key| test_payload(key, 100)), "{name}");
+    }
+}
+
+/// Guards against a segment that is read under the name of another one.
+#[test]
+fn a_segment_under_the_name_of_another_one_is_refused() {
+    for header in [
+        [&b"SBSEG001"[..], &1_u64.to_le_bytes()].concat(),
+        [&b"SBSEG002"[..], &1_u32.to_le_bytes(), &[0; 4]].concat(),
+    ] {
+        let mut disk = MemoryFiles::default();
+        disk.create("segment-0000000002").unwrap();
+        disk.append("segment-0000000002", &header).unwrap();
+        let error = open(disk).map(drop).unwrap_err();
+        assert_eq!(error.to_string(), "segment-0000000002 has the header of another segment");
+    }
+}
