--- a/crates/sender/src/http/tests.rs
+++ b/crates/sender/src/http/tests.rs
@@ -52,7 +52,7 @@
 fn decoded_messages_do_not_depend_on_how_the_input_is_split() {
     let get = "GET /r HTTP/1.1\r\n";
     let ok = "HTTP/1.1 200 OK\r\n";
-    let cases: [(bool, String, &[&str]); 36] = [
+    let cases: [(bool, String, &[&str]); 38] = [
         (false, format!("{get}\r\n"), &["GET /r - [] keep"]),
         (false, format!("\r\n{get}X-A: b \r\n\r\n"), &["GET /r b [] keep"]),
         (false, format!("{get}Connection: x, Close\r\n\r\n"), &["GET /r - [] close"]),
@@ -75,6 +75,16 @@
         (false, format!("{get}Transfer-Encoding: gzip, chunked\r\n\r\n"), &["UnknownCoding"]),
         (false, format!("{get}Content-Length: 1\r\nContent-Length: 1\r\n\r\n"), &["Malformed"]),
         (false, format!("{get}Content-Length: 1, 1\r\n\r\n"), &["Malformed"]),
+        (
+            false,
+            format!("{get}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+            &["Malformed"],
+        ),
+        (
+            true,
+            format!("{ok}Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n"),
+            &["Malformed"],
+        ),
         (false, format!("{get}Content-Length: 65537\r\n\r\n"), &["BodyTooBig"]),
         (false, "\u{1}\u{2}\r\n\r\n".into(), &["Malformed"]),
         (false, format!("{get}X-A: {}\r\n\r\n", "b".repeat(MAX_HEAD_BYTES)), &["HeadTooBig"]),
--- a/crates/sender/tests/decoders.rs
+++ b/crates/sender/tests/decoders.rs
@@ -7,7 +7,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use scalebarrow_sender::clients::{Client, Step, route};
+use scalebarrow_sender::clients::{Client, Reply, Step, route};
 use scalebarrow_sender::clock::BootReading;
 use scalebarrow_sender::config::Config;
 use scalebarrow_sender::endpoints::{
@@ -249,6 +249,33 @@
     let _ = journal.run_compaction_step();
 }
 
+/// Guards against a configuration of which the end is not read.
+#[test]
+fn a_configuration_that_is_followed_by_more_is_refused() {
+    assert!(Config::decode(CONFIG.as_bytes()).is_ok());
+    let message = Config::decode(format!("{CONFIG} {{}}").as_bytes()).unwrap_err();
+    assert!(message.starts_with("trailing data"), "{message}");
+}
+
+/// Guards against ids and keys that would be read as something else where they are copied to: in a header, a
+/// line of a batch or an answer.
+#[test]
+fn a_request_with_an_id_or_key_that_cannot_be_copied_is_refused() {
+    for (id, key) in [("a b", "k"), ("a\tb", "k"), ("\u{e9}", "k"), ("a", "k 1"), ("a", ""), ("", "k")] {
+        let mut client = Client::new();
+        client.receive(
+            format!(
+                "POST /e HTTP/1.1\r\nReq-Id: {id}\r\nReq-Deadline: 480m\r\nIdempotency-Key: {key}\r\n\
+                 X-Addressing: dest=7\r\nContent-Length: 0\r\n\r\n"
+            )
+            .as_bytes(),
+        );
+        let Step::HandleRequest(request) = client.next_step() else { panic!("{id:?} {key:?}") };
+        let reply = route(request.head, &BTreeSet::from(["e".to_owned()])).unwrap_err();
+        assert_eq!(reply, Reply::Status(400), "{id:?} {key:?}");
+    }
+}
+
 /// The same cases in each run, unless the environment sets a seed.
 fn seeded_config() -> ProptestConfig {
     let config = ProptestConfig::default();
--- a/crates/store/tests/store/cases.rs
+++ b/crates/store/tests/store/cases.rs
@@ -179,8 +179,12 @@
     let offset = |key: usize| forgery::HEADER_LENGTH + (key - 1) * length;
     let item = |key: usize| forgery::item(RecordKind::Value, FIRST_TAG, key as u64, offset(key), length, &[]);
     let items = |keys: &[usize]| -> Vec<u8> { keys.iter().flat_map(|key| item(*key)).collect() };
+    // Those of a segment with records of the same lengths and other keys.
+    let foreign_item =
+        |key: usize| forgery::item(RecordKind::Value, FIRST_TAG, key as u64 + 10, offset(key), length, &[]);
+    let foreign_items = (1..=3).flat_map(foreign_item).collect();
     for (name, segment_id, items) in [
-        ("of another segment", 2, items(&[1, 2, 3])),
+        ("of another segment", 2, foreign_items),
         ("empty", 1, Vec::new()),
         ("a gap at the start", 1, items(&[2, 3])),
         ("a gap in the middle", 1, items(&[1, 3])),
